--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 from typing import Any
 
-from calicohall import AdmissionPolicy
-from calicohall import interface as api
-from calicohall.interface import Effect, FleetKind, Outcome, Scope, WorkerState
+from vetchusher import AdmissionPolicy
+from vetchusher import interface as api
+from vetchusher.interface import Effect, FleetKind, Outcome, Scope, WorkerState
 
 SECOND = 1_000_000
 SAFE = api.RequestClass(Effect.SAFE, Scope.ALL, SECOND, 4 * SECOND, 0, 1.0, 0.0)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,8 +4,8 @@
 
 from helpers import NO_RATE, PLAN, SECOND, SETTINGS, CounterService, Gate
 
-from calicohall import interface as api
-from calicohall.interface import Outcome
+from vetchusher import interface as api
+from vetchusher.interface import Outcome
 
 WINDOW = 4 * SECOND  # burst 20 at 5 a second
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,9 +8,9 @@
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 
-from calicohall import AdmissionPolicy
-from calicohall import interface as api
-from calicohall.interface import FleetKind, Outcome, WorkerState
+from vetchusher import AdmissionPolicy
+from vetchusher import interface as api
+from vetchusher.interface import FleetKind, Outcome, WorkerState
 
 SAFE, KEYED, UNSAFE, ZONED, CELLED, STREAM = range(6)
 MAYBE = (Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from calicohall import interface as api
-from calicohall import wire, wirehost
-from calicohall.interface import FleetKind
+from vetchusher import interface as api
+from vetchusher import wire, wirehost
+from vetchusher.interface import FleetKind
 
 ROOT = pathlib.Path(__file__).parent.parent
 NOW = 0x805C5A
@@ -51,7 +51,7 @@
 
 def run(data):
     done = subprocess.run(
-        [sys.executable, "-m", "calicohall.wirehost"], input=data, capture_output=True, cwd=ROOT, timeout=60
+        [sys.executable, "-m", "vetchusher.wirehost"], input=data, capture_output=True, cwd=ROOT, timeout=60
     )
     return done.returncode, done.stdout, done.stderr.decode()
 
@@ -145,7 +145,7 @@
 def test_bad_input_is_one_plain_line_and_a_failure(data):
     code, _, err = run(data)
     assert code != 0
-    assert err.startswith("calicohall: ") and err.count("\n") == 1 and "Traceback" not in err
+    assert err.startswith("vetchusher: ") and err.count("\n") == 1 and "Traceback" not in err
 
 
 def test_fault_in_the_policy_is_told_on_the_wire(monkeypatch):
@@ -205,7 +205,7 @@
     data = b"".join(batch(now, r, tail) for now, r, tail in script(1, 3))
     outs = {
         subprocess.run(
-            [sys.executable, "-m", "calicohall.wirehost"],
+            [sys.executable, "-m", "vetchusher.wirehost"],
             input=data,
             capture_output=True,
             cwd=ROOT,
@@ -218,10 +218,10 @@
 
 
 def test_module_stays_reviewable():
-    lines = (ROOT / "calicohall/policy.py").read_text().splitlines()
+    lines = (ROOT / "vetchusher/policy.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 710
-    assert "calicohall/interface.py" in lines[0]
-    for path in (ROOT / "calicohall").glob("*.py"):
+    assert "vetchusher/interface.py" in lines[0]
+    for path in (ROOT / "vetchusher").glob("*.py"):
         assert max((len(line) for line in path.read_text().splitlines()), default=0) <= 110
 
 
--- a/calicohall/__init__.py
+++ b/vetchusher/__init__.py
@@ -1,4 +1,4 @@
-"""calicohall: admission for a gateway whose service is sold by plan."""
+"""vetchusher: admission for a gateway whose service is sold by plan."""
 
 from .policy import AdmissionPolicy
 
--- a/calicohall/policy.py
+++ b/vetchusher/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of calicohall.  Its types, events and actions: calicohall/interface.py.
+"""Every decision of vetchusher.  Its types, events and actions: vetchusher/interface.py.
 
 The ordinary path is the two-window sliding count: a request passes if the customer's global total of this
 window, plus the last one's by its remaining weight, plus its own units stays within the limit.  A timer
--- a/calicohall/state.py
+++ b/vetchusher/state.py
@@ -1,4 +1,4 @@
-"""What a gateway remembers: plain records, read and written by calicohall/policy.py, which decides."""
+"""What a gateway remembers: plain records, read and written by vetchusher/policy.py, which decides."""
 
 from __future__ import annotations
 
--- a/calicohall/wirehost.py
+++ b/vetchusher/wirehost.py
@@ -57,7 +57,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as err:
-        print(f"calicohall: {err}", file=sys.stderr)
+        print(f"vetchusher: {err}", file=sys.stderr)
         return 2
     except (BrokenPipeError, KeyboardInterrupt):
         return 1
