--- a/vetchusher/__init__.py
+++ b/vetchusher/__init__.py
@@ -2,4 +2,5 @@
 
 from .policy import AdmissionPolicy
 
+__version__ = "0.2.0"
 __all__ = ["AdmissionPolicy"]
--- a/vetchusher/interface.py
+++ b/vetchusher/interface.py
@@ -62,6 +62,7 @@
     worth: float
     late_share: float
     stream: bool = False
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -77,6 +78,7 @@
     ceiling_rate: float
     ceiling_burst: float
     ceiling_slack: float
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -104,6 +106,10 @@
     ask_within: int = 10_000_000
     connection_idle: int = 15_000_000  # an idle connection to a worker closes after this
     tick: int = 1_000
+    connect_limit: int = 250_000  # a connection not up by then has failed
+    open_cap: int = 20_000  # requests that a gateway may hold open
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
 
 
 # ---- events -------------------------------------------------------------------------
--- /dev/null
+++ b/vetchusher/net/__init__.py
@@ -0,0 +1,1 @@
+"""The ingress: real sockets round the decision module."""
--- /dev/null
+++ b/vetchusher/net/cli.py
@@ -0,0 +1,68 @@
+"""vetchusher: an ingress that admits by plan and routes to share servers.
+
+Usage:
+  vetchusher serve [--config FILE]
+  vetchusher check-config [--config FILE]
+  vetchusher version
+  vetchusher (-h | --help)
+
+Commands:
+  serve         Run one ingress in the foreground until SIGTERM.
+  check-config  Read the configuration, say what it holds, and end.
+  version       Print the version.
+
+Options:
+  --config FILE  The configuration; without it, the file that NODE_CONFIG names.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import sys
+
+from docopt import docopt
+
+from vetchusher import __version__
+
+from . import config as configuration
+from .ingress import Ingress
+
+
+def start_logging() -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    logging.getLogger().addHandler(handler)
+    logging.getLogger().setLevel(logging.INFO)
+
+
+async def serve(config: configuration.Config) -> None:
+    await Ingress(config, asyncio.get_running_loop()).run()
+
+
+def main(argv: list[str]) -> int:
+    given = docopt(__doc__, argv)
+    if given["version"]:
+        print(f"vetchusher {__version__}")
+        return 0
+    path = given["--config"] or os.environ.get("NODE_CONFIG", "")
+    try:
+        if not path:
+            raise configuration.ConfigError("no configuration: give --config or set NODE_CONFIG")
+        config = configuration.load(path)
+        if given["check-config"]:
+            classes = ", ".join(c.name for c in config.settings.classes)
+            plans = ", ".join(p.name for p in config.settings.plans)
+            host, port = config.listen
+            print(f"{config.name}: listens at {host}:{port}; classes {classes}; plans {plans}")
+            return 0
+        start_logging()
+        asyncio.run(serve(config))
+    except configuration.ConfigError as err:
+        print(f"vetchusher: {err}", file=sys.stderr)
+        return 2
+    except OSError as err:
+        print(f"vetchusher: cannot serve: {err}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/vetchusher/net/config.py
@@ -0,0 +1,93 @@
+"""What an ingress is told at its start: one JSON file, its settings read by the adapter's own reader."""
+
+from __future__ import annotations
+
+import pathlib
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from vetchusher import interface as api
+from vetchusher import wire
+
+DESCRIPTORS_SPARE = 64  # interpreter, loop, name table, listeners
+COUNTER_CONNECTIONS = 32  # the counter resets any further ones
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """How many of each thing may be held, so that together they stay within the descriptors allowed."""
+
+    commands: int
+    clients: int
+    attempts: int
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    counter: str
+    seed: int
+    known: dict[str, Any]
+    settings: api.Settings
+    bounds: Bounds
+
+
+def read_address(text: object) -> tuple[str, int]:
+    """Host and port of `host:port`, the host a dotted IPv4 address: there is no DNS to ask."""
+    host, _, port = str(text).rpartition(":")
+    parts = host.split(".")
+    if len(parts) != 4 or not all(p.isascii() and p.isdigit() and int(p) < 256 for p in parts):
+        raise ValueError(f"not an IPv4 address with a port: {text!r}")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"not a port: {text!r}")
+    return host, int(port)
+
+
+def bounds_for(sockets: int, open_cap: int) -> Bounds:
+    share = max(16, sockets - DESCRIPTORS_SPARE - COUNTER_CONNECTIONS)
+    # Half for clients, a quarter for attempts under way, a quarter for connections kept idle.
+    return Bounds(min(open_cap, share * 2 // 5), share // 2, share // 4)
+
+
+def parse(raw: bytes) -> Config:
+    try:
+        tree = orjson.loads(raw)
+        listen = read_address(tree["listen"])
+        discovery, counter = str(tree["discovery"]), str(tree.get("counter") or "")
+        read_address(discovery)
+        if counter:
+            read_address(counter)
+        settings = wire.read_settings(orjson.dumps(tree["settings"]))
+        limits = tree.get("limits", {})
+        return Config(
+            name=str(tree.get("name", "")),
+            listen=listen,
+            discovery=discovery,
+            counter=counter,
+            seed=int(str(tree.get("seed", "0")), 16),
+            known=dict(tree.get("known") or {}),
+            settings=settings,
+            bounds=bounds_for(int(limits.get("sockets") or 1024), settings.open_cap),
+        )
+    except wire.WireError as err:
+        raise ConfigError(str(err)) from None
+    except KeyError as err:
+        raise ConfigError(f"configuration lacks {err}") from None
+    except (ValueError, TypeError, AttributeError) as err:
+        raise ConfigError(f"unusable configuration: {' '.join(str(err).split())}") from None
+
+
+def load(path: str) -> Config:
+    try:
+        raw = pathlib.Path(path).read_bytes()
+    except OSError as err:
+        raise ConfigError(f"cannot read {path}: {err.strerror}") from None
+    return parse(raw)
--- /dev/null
+++ b/vetchusher/net/counter.py
@@ -0,0 +1,86 @@
+"""Calls to the quota counter, the owner of each from `call` to its one outcome in `finish`."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+import aiohttp
+
+from vetchusher import interface as api
+
+from . import effects as fx
+from .config import COUNTER_CONNECTIONS
+from .instances import NeverSent, open_session, read_body, target_url
+from .protocol import counter_path, read_total
+from .runtime import Runtime
+
+log = logging.getLogger("vetchusher")
+
+IDLE_US = 4_000_000  # the counter closes a connection idle for about 10 s or less
+MOST_CALLS = 512  # under way at once; beyond that a call is as good as turned away
+
+
+@dataclass(slots=True)
+class Call:
+    name: int
+    begun_at: int
+    task: asyncio.Task[None] | None = None
+    expiry: asyncio.TimerHandle | None = None
+    done: bool = False
+
+
+class CounterCalls:
+    def __init__(self, runtime: Runtime, address: str) -> None:
+        self.runtime = runtime
+        self.address = address
+        self.calls: set[asyncio.Task[None]] = set()
+        self.session = open_session(COUNTER_CONNECTIONS, IDLE_US, None)
+
+    def call(self, effect: fx.CallCounter) -> None:
+        clock, loop = self.runtime.clock, self.runtime.loop
+        call = Call(effect.name, clock.now())
+        if not self.address or len(self.calls) >= MOST_CALLS:
+            self.finish(call, api.Outcome.FULL)
+            return
+        path = counter_path(effect.name, effect.amount, effect.lifetime)
+        call.task = loop.create_task(self.run(call, path))
+        self.calls.add(call.task)
+        call.task.add_done_callback(self.calls.discard)
+        call.expiry = loop.call_at(clock.on_loop(effect.expires_at), self.expire, call)
+
+    def expire(self, call: Call) -> None:
+        self.finish(call, api.Outcome.TIMEOUT)
+
+    def finish(self, call: Call, outcome: int, total: float = 0.0) -> None:
+        """The one place where a call ends."""
+        if call.done:
+            return
+        call.done = True
+        if call.expiry is not None:
+            call.expiry.cancel()
+        if call.task is not None and outcome == api.Outcome.TIMEOUT:
+            call.task.cancel()
+        latency = self.runtime.clock.now() - call.begun_at
+        self.runtime.feed(fx.CounterReplied(call.name, outcome, latency, total))
+
+    async def run(self, call: Call, path: str) -> None:
+        total = 0.0
+        try:
+            response = await self.session.post(target_url(self.address, path), allow_redirects=False)
+            body = await read_body(response)
+            outcome, total = read_total(response.status, body or b"")
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, NeverSent):
+            outcome = api.Outcome.CONNECT_FAILED
+        except (aiohttp.ClientError, OSError):
+            outcome = api.Outcome.TIMEOUT  # it may have been added, or may yet be
+        except Exception as err:
+            log.warning("counter call failed: %s: %s", type(err).__name__, err)
+            outcome = api.Outcome.TIMEOUT
+        self.finish(call, outcome, total)
+
+    async def close(self) -> None:
+        for task in list(self.calls):
+            task.cancel()
+        await self.session.close()
--- /dev/null
+++ b/vetchusher/net/effects.py
@@ -0,0 +1,132 @@
+"""The reducer's language: what may happen to an ingress, and what it may ask to have done.
+
+Times are Unix microseconds on the ingress's monotonic clock.  Ids are integers.  Nothing here knows of
+HTTP: any protocol that can make these events and carry out these effects can drive the reducer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from vetchusher import interface as api
+
+
+@dataclass(slots=True)
+class CommandArrived:
+    command: int
+    class_id: int
+    plan_id: int
+    customer: int
+    expires_at: int
+    units: float
+    doors: float
+    first_door: float
+    flags: int
+
+
+@dataclass(slots=True)
+class AttemptOver:
+    command: int
+    attempt: int
+    instance: int
+    outcome: int
+    latency: int
+    answer: object = None  # passed on to the service client unopened
+
+
+@dataclass(slots=True)
+class ClientLeft:
+    command: int
+
+
+@dataclass(slots=True)
+class TimerDue:
+    token: int
+
+
+@dataclass(slots=True)
+class NamesChanged:
+    change: api.FleetChanged
+
+
+@dataclass(slots=True)
+class CounterReplied:
+    name: int
+    outcome: int
+    latency: int
+    total: float
+
+
+@dataclass(slots=True)
+class NamesRead:
+    """The whole name table has come, or has been waited for long enough."""
+
+
+@dataclass(slots=True)
+class StopAsked:
+    pass
+
+
+Event = (
+    CommandArrived
+    | AttemptOver
+    | ClientLeft
+    | TimerDue
+    | NamesChanged
+    | NamesRead
+    | CounterReplied
+    | StopAsked
+)
+
+
+@dataclass(slots=True)
+class StartAttempt:
+    command: int
+    attempt: int
+    instance: int
+    expires_at: int
+
+
+@dataclass(slots=True)
+class AbandonAttempt:
+    command: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Serve:
+    command: int
+    answer: object
+
+
+@dataclass(slots=True)
+class Nack:
+    command: int
+    retry_after: int = 0
+
+
+@dataclass(slots=True)
+class Failure:
+    command: int
+
+
+@dataclass(slots=True)
+class WakeAt:
+    at: int
+    token: int
+
+
+@dataclass(slots=True)
+class CallCounter:
+    name: int
+    amount: float
+    lifetime: int
+    expires_at: int
+
+
+@dataclass(slots=True)
+class WriteLog:
+    text: str
+
+
+Effect = StartAttempt | AbandonAttempt | Serve | Nack | Failure | WakeAt | CallCounter | WriteLog
--- /dev/null
+++ b/vetchusher/net/ingress.py
@@ -0,0 +1,69 @@
+"""Puts the parts of one ingress together, and takes them apart in order when it is asked to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+from vetchusher.policy import AdmissionPolicy
+
+from . import effects as fx
+from .config import Config
+from .counter import CounterCalls
+from .instances import Instances
+from .name_table import NameTable
+from .protocol import CommandReader
+from .reducer import Reducer
+from .runtime import Runtime
+from .server import ServiceClients
+
+log = logging.getLogger("vetchusher")
+
+# The front goes on for up to 0.4 s after SIGTERM to open connections and use the ones it has.
+GRACE_US = 500_000
+AFTER_GRACE_US = 100_000  # beyond the longest deadline: SIGKILL comes 0.7 s after that at the soonest
+
+
+class Ingress:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config = config
+        self.loop = loop
+        settings, bounds = config.settings, config.bounds
+        reducer = Reducer(AdmissionPolicy(settings, config.seed), settings, bounds.commands)
+        self.runtime = Runtime(loop, reducer)
+        self.clients = ServiceClients(self.runtime, CommandReader(settings), bounds.clients)
+        self.names = NameTable(self.runtime, settings, config.discovery)
+        self.instances = Instances(
+            self.runtime, settings, bounds.attempts, self.clients.payload, self.names.address_of
+        )
+        self.counter = CounterCalls(self.runtime, config.counter)
+        self.runtime.attach(self.clients, self.instances, self.counter)
+        self.stop = asyncio.Event()
+
+    async def start(self) -> None:
+        await self.clients.listen(*self.config.listen)
+        self.names.start(self.config.known)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop.set)
+        log.info("%s listens at %s:%d", self.config.name, *self.config.listen)
+
+    async def run(self) -> None:
+        await self.start()
+        await self.stop.wait()
+        await self.finish()
+
+    async def finish(self) -> None:
+        """Serve on for the grace, then finish what was taken, but no longer than any client waits."""
+        runtime = self.runtime
+        runtime.feed(fx.StopAsked())
+        longest = max(c.deadline for c in self.config.settings.classes)
+        last = self.loop.time() + (GRACE_US + AFTER_GRACE_US + longest) / 1e6
+        await asyncio.sleep(GRACE_US / 1e6)
+        self.clients.stop_accepting()
+        while self.clients.server.connections and self.loop.time() < last:
+            await asyncio.sleep(0.01)
+        await self.names.close()
+        await self.instances.close()
+        await self.counter.close()
+        log.info("%s ends", self.config.name)
--- /dev/null
+++ b/vetchusher/net/name_table.py
@@ -0,0 +1,99 @@
+"""The watch on discovery's list, and where each instance listens."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+import aiohttp
+
+from vetchusher import interface as api
+
+from . import effects as fx
+from .instances import open_session, target_url
+from .protocol import Malformed, NameChange, read_names
+from .runtime import Runtime
+
+log = logging.getLogger("vetchusher")
+
+PATH = "/registry/instances"
+WATCH_MS = 4_000  # a silent agent is noticed this long, and a little, after a change
+REPLY_US = 1_000_000  # an answer that is due comes within this
+PAUSE_US = 150_000  # after a failed call: the next one within 200 ms goes on with the watch
+READ_WAIT_US = 1_000_000  # a silent discovery keeps an ingress that has a cached list from service this long
+MOST_LIST = 4 * 1024 * 1024
+
+
+class NameTable:
+    def __init__(self, runtime: Runtime, settings: api.Settings, address: str) -> None:
+        self.runtime = runtime
+        self.settings = settings
+        self.address = address
+        self.addresses: dict[int, int] = {}
+        self.version = -1
+        self.session = open_session(2, 60e6, REPLY_US)
+        self.task: asyncio.Task[None] | None = None
+
+    def address_of(self, instance: int) -> int:
+        return self.addresses.get(instance, 0)
+
+    def start(self, known: dict[str, Any]) -> None:
+        if known:
+            try:
+                self.take(read_names({"reset": True, **known}, self.settings, cached=True))
+            except Malformed as err:
+                log.warning("cached list: %s", err)
+        loop = self.runtime.loop
+        loop.call_at(loop.time() + READ_WAIT_US / 1e6, self.runtime.feed, fx.NamesRead())
+        self.task = loop.create_task(self.watch())
+
+    def take(self, news: NameChange) -> None:
+        if news.skipped:
+            log.warning("name table: %d entries could not be read", news.skipped)
+        if news.change.kind != api.FleetKind.DELTA:
+            self.addresses = news.addresses  # a whole list removes those missing
+        else:
+            self.addresses.update(news.addresses)
+        self.runtime.feed(fx.NamesChanged(news.change))
+
+    async def watch(self) -> None:
+        """First the whole list, then what changes; whatever goes wrong, service goes on with the last."""
+        while True:
+            path = PATH
+            wait_us = REPLY_US
+            if self.version >= 0:
+                path = f"{PATH}?after={self.version}&wait_ms={WATCH_MS}"
+                wait_us += WATCH_MS * 1000
+            failed = True
+            try:
+                async with asyncio.timeout_at(self.runtime.loop.time() + wait_us / 1e6):
+                    raw = await self.fetch(path)
+                news = read_names(raw, self.settings)
+                if news.change.kind == api.FleetKind.FULL or self.version >= 0:
+                    self.take(news)
+                    self.version = news.change.version
+                    self.runtime.feed(fx.NamesRead())
+                    failed = False
+            except TimeoutError:
+                log.warning("discovery is silent")
+            except (aiohttp.ClientError, OSError, Malformed) as err:
+                log.warning("discovery: %s: %s", type(err).__name__, err)
+            except Exception:
+                log.exception("name table")
+            if failed:
+                await asyncio.sleep(PAUSE_US / 1e6)
+
+    async def fetch(self, path: str) -> bytes:
+        async with self.session.get(target_url(self.address, path), allow_redirects=False) as response:
+            if response.status != 200:
+                raise Malformed(f"discovery answers {response.status}")
+            raw = await response.content.read(MOST_LIST)
+            while not response.content.at_eof() and len(raw) < MOST_LIST:
+                raw += await response.content.read(MOST_LIST - len(raw))
+            return raw
+
+    async def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        await self.session.close()
--- /dev/null
+++ b/vetchusher/net/protocol.py
@@ -0,0 +1,220 @@
+"""Pure reading and writing of what goes over the sockets: headers, name table, counter answers."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+import orjson
+
+from vetchusher import interface as api
+
+MOST_BODY = 64 * 1024
+MOST_WAIT_S = 3600.0  # a client that says it waits longer than this is taken to be mistaken
+MOST_TTL_MS = 60_000
+CLIENT_RETRY, WRITE = 2, 4
+
+_TOKEN = re.compile(r"[!-~]{1,128}", re.ASCII)
+_NUMBER = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,9})?|\.[0-9]{1,9}", re.ASCII)
+_TOTAL = re.compile(rb"-?[0-9]{1,20}(?:\.[0-9]{0,20})?(?:[eE][+-]?[0-9]{1,3})?")
+_CUSTOMER = re.compile(r"[0-9a-fA-F]{16}", re.ASCII)
+_STATES = {
+    "SERVING": api.WorkerState.READY,
+    "DRAINING": api.WorkerState.DRAINING,
+    "DELETED": api.WorkerState.GONE,
+}
+
+
+class Rejected(Exception):
+    """A message that breaks the protocol: the status that answers it and one plain line."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Malformed(Exception):
+    """Another party's message cannot be read; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class CommandHead:
+    """What a command says of itself, in integers."""
+
+    class_id: int
+    plan_id: int
+    customer: int
+    time_left: int
+    units: float
+    doors: float
+    first_door: float
+    flags: int
+
+
+class CommandReader:
+    """Reads the heads of commands by the classes and plans of the settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.gateways = settings.gateways
+        self.most_units = max(1.0, settings.most_units)
+        self.classes = {c.name: (i, c.effect) for i, c in enumerate(settings.classes)}
+        self.plans = {p.name: i for i, p in enumerate(settings.plans)}
+
+    def read(self, method: str, target: str, headers: Mapping[str, str]) -> CommandHead:
+        name = target[1:].partition("?")[0].partition("/")[0]
+        found = self.classes.get(name) if target.startswith("/") else None
+        if found is None:
+            raise Rejected(404, "unknown class")
+        class_id, effect = found
+        if method != ("GET" if effect == api.Effect.SAFE else "POST"):
+            raise Rejected(405, "wrong method for this class")
+        if not _TOKEN.fullmatch(headers.get("Request-Id", "")):
+            raise Rejected(400, "Request-Id is missing or malformed")
+        key = headers.get("Idempotency-Key")
+        if key is None:
+            if effect == api.Effect.KEYED:
+                raise Rejected(400, "this class needs an Idempotency-Key")
+        elif not _TOKEN.fullmatch(key):
+            raise Rejected(400, "Idempotency-Key is malformed")
+        plan_id = self.plans.get(headers.get("Api-Plan", ""))
+        if plan_id is None:
+            raise Rejected(400, "unknown plan")
+        customer = headers.get("Api-Customer", "")
+        if not _CUSTOMER.fullmatch(customer):
+            raise Rejected(400, "Api-Customer is not 16 hex digits")
+        units, doors, first = self.terms(headers.get("Api-Terms", ""))
+        flags = CLIENT_RETRY if headers.get("Client-Retry") == "1" else 0
+        return CommandHead(
+            class_id,
+            plan_id,
+            int(customer, 16),
+            seconds(headers.get("Request-Timeout", "")),
+            units,
+            doors,
+            first,
+            flags if effect == api.Effect.SAFE else flags | WRITE,
+        )
+
+    def terms(self, text: str) -> tuple[float, float, float]:
+        told: dict[str, float] = {}
+        for part in text.split(","):
+            name, _, value = part.strip().partition("=")
+            if not _NUMBER.fullmatch(value) or name in told:
+                raise Rejected(400, "Api-Terms is malformed")
+            told[name] = float(value)
+        units, spread, first = told.get("units", -1.0), told.get("spread", -1.0), told.get("first", -1.0)
+        if not 0.0 < units <= self.most_units:
+            raise Rejected(400, "Api-Terms: units out of range")
+        if not 1.0 <= spread <= self.gateways or not 0.0 <= first < self.gateways:
+            raise Rejected(400, "Api-Terms: no such set of ingresses")
+        return units, spread, first
+
+
+def seconds(text: str) -> int:
+    """A Request-Timeout in microseconds."""
+    if not _NUMBER.fullmatch(text) or not 0.0 < float(text) <= MOST_WAIT_S:
+        raise Rejected(400, "Request-Timeout is missing or absurd")
+    return max(1, int(float(text) * 1e6))
+
+
+def seconds_text(span: int) -> str:
+    """Microseconds as seconds with decimals, never below nothing."""
+    return f"{max(0, span) / 1e6:.3f}"
+
+
+def attempt_outcome(status: int, headers: Mapping[str, str]) -> int:
+    """How an attempt ended whose answer has come whole."""
+    if status == 200:
+        return api.Outcome.OK
+    if status in (503, 504) and headers.get("Not-Started") == "1":
+        return api.Outcome.FULL
+    return api.Outcome.ERROR
+
+
+def counter_path(name: int, amount: float, lifetime: int) -> str:
+    ttl = min(MOST_TTL_MS, max(1, lifetime // 1000))
+    return f"/v1/count/{name}?add={amount:.10g}&ttl_ms={ttl}"
+
+
+def read_total(status: int, body: bytes) -> tuple[int, float]:
+    """The outcome of an answered counter call and its total."""
+    if status != 200:
+        return api.Outcome.FULL, 0.0
+    text = body.strip()
+    if not _TOTAL.fullmatch(text) or not math.isfinite(total := float(text)):
+        # Danger: the amount stands there, but what the answer says of the total is junk.
+        return api.Outcome.TIMEOUT, 0.0
+    return api.Outcome.OK, total
+
+
+def instance_number(text: str) -> int:
+    """One integer for an instance at every ingress."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=7).digest(), "big")
+
+
+def pack_address(host: str, port: int) -> int:
+    a, b, c, d = (int(part) for part in host.split("."))
+    return (a << 24 | b << 16 | c << 8 | d) << 16 | port
+
+
+def address_text(address: int) -> str:
+    a = address >> 16
+    return f"{a >> 24}.{a >> 16 & 255}.{a >> 8 & 255}.{a & 255}:{address & 0xFFFF}"
+
+
+@dataclass(slots=True)
+class NameChange:
+    """A whole name table or the entries that changed, with where each instance listens."""
+
+    change: api.FleetChanged
+    addresses: dict[int, int]
+    skipped: int = 0  # entries that could not be read
+
+
+def read_names(raw: bytes | dict[str, Any], settings: api.Settings, cached: bool = False) -> NameChange:
+    try:
+        tree = orjson.loads(raw) if isinstance(raw, bytes) else raw
+        version, whole, listed = int(tree["generation"]), bool(tree["reset"]), list(tree["instances"])
+    except (ValueError, KeyError, TypeError) as err:
+        raise Malformed(f"unreadable name table: {type(err).__name__}: {err}") from None
+    kind = api.FleetKind.FULL if whole else api.FleetKind.DELTA
+    done = NameChange(api.FleetChanged(api.FleetKind.CACHED if cached else kind, version), {})
+    for item in listed:
+        try:
+            entry, address = _name_entry(item, settings)
+        except (ValueError, KeyError, TypeError, AttributeError):
+            done.skipped += 1
+            continue
+        done.change.entries.append(entry)
+        if address:
+            done.addresses[entry.worker] = address
+    return done
+
+
+def _place(name: object, names: tuple[str, ...]) -> int:
+    return names.index(str(name)) if name in names else len(names)
+
+
+def _name_entry(item: dict[str, Any], settings: api.Settings) -> tuple[api.WorkerEntry, int]:
+    state = _STATES[item["lifecycle"]]
+    address = 0
+    if state != api.WorkerState.GONE or "hostPort" in item:
+        host, _, port = str(item["hostPort"]).rpartition(":")
+        address = pack_address(host, int(port))
+        if not 0 < address & 0xFFFF == int(port) or address >> 48:
+            raise ValueError("address out of range")
+    size = float(item.get("weight", 1.0))
+    entry = api.WorkerEntry(
+        instance_number(str(item["instanceId"])),
+        state,
+        _place(item.get("zone"), settings.zones),
+        int(item.get("cell") or 0),
+        _place(item.get("machineType"), settings.kinds),
+        size if math.isfinite(size) and size > 0 else 1.0,
+        max(0, int(item.get("startedAtMs") or 0)) * 1000,
+    )
+    return entry, address
--- /dev/null
+++ b/vetchusher/net/reducer.py
@@ -0,0 +1,196 @@
+"""The one place where the ingress's state changes: an event goes in, the effects to carry out come out.
+
+It keeps the rules that hold whatever the module decides: one final answer for each command, one outcome for
+each attempt, no attempt for a command that is over.  It does no I/O and knows no protocol.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from vetchusher import interface as api
+from vetchusher.policy import AdmissionPolicy
+
+from . import effects as fx
+
+RETRY_TIMER_US = 100_000  # a timer whose handling failed comes again after this
+
+
+@dataclass(slots=True)
+class Command:
+    """One command from its arrival until it is answered and its last attempt has ended."""
+
+    expires_at: int
+    attempts: int = 0
+    out: set[int] = field(default_factory=set)
+    answered: bool = False
+
+
+class Reducer:
+    def __init__(self, policy: AdmissionPolicy, settings: api.Settings, most_commands: int) -> None:
+        self.policy = policy
+        self.settings = settings
+        self.most_commands = most_commands
+        self.commands: dict[int, Command] = {}
+        self.named = False  # the name table holds someone to send to
+        self.read = False
+        self.stopping = False
+        self.moot: list[api.AttemptEnded] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should come: it can decide, and it is not about to end."""
+        return self.named and self.read and not self.stopping
+
+    def apply(self, now: int, event: fx.Event) -> list[fx.Effect]:
+        done: list[fx.Effect] = []
+        kind = type(event)
+        if kind is fx.CommandArrived:
+            self.arrived(now, event, done)  # type: ignore[arg-type]
+        elif kind is fx.AttemptOver:
+            self.attempt_over(now, event, done)  # type: ignore[arg-type]
+        elif kind is fx.TimerDue:
+            token = event.token  # type: ignore[union-attr]
+            if not self.decide(now, api.TimerFired(token), done):
+                # Danger: the module's tick sets itself anew; lost once, no quota would be pushed again.
+                done.append(fx.WakeAt(now + RETRY_TIMER_US, token))
+        elif isinstance(event, fx.CounterReplied):
+            self.decide(now, api.CounterAnswered(event.name, event.outcome, event.latency, event.total), done)
+        elif isinstance(event, fx.ClientLeft):
+            self.client_left(now, event.command, done)
+        elif isinstance(event, fx.NamesChanged):
+            self.decide(now, event.change, done)
+            ready = any(e.state == api.WorkerState.READY for e in event.change.entries)
+            self.named = self.named or ready
+        elif isinstance(event, fx.NamesRead):
+            self.read = True
+        elif isinstance(event, fx.StopAsked):
+            self.stopping = True
+        return done
+
+    def arrived(self, now: int, event: fx.CommandArrived, done: list[fx.Effect]) -> None:
+        # No attempt has been made, so a nack is true for every class.
+        if not self.named or len(self.commands) >= self.most_commands:
+            done.append(fx.Nack(event.command))
+            return
+        self.commands[event.command] = Command(event.expires_at)
+        told = api.RequestArrived(
+            event.command,
+            event.class_id,
+            event.plan_id,
+            event.customer,
+            event.expires_at - now,
+            event.units,
+            event.doors,
+            event.first_door,
+            event.flags,
+        )
+        if not self.decide(now, told, done):
+            self.give_up(event.command, done)
+
+    def attempt_over(self, now: int, event: fx.AttemptOver, done: list[fx.Effect]) -> None:
+        command = self.commands.get(event.command)
+        if command is None or event.attempt not in command.out:
+            return  # its one outcome has been told
+        command.out.discard(event.attempt)
+        if event.outcome == api.Outcome.OK and not command.answered:
+            command.answered = True
+            done.append(fx.Serve(event.command, event.answer))
+        told = api.AttemptEnded(
+            event.command, event.attempt, event.instance, event.outcome, event.latency, command.answered
+        )
+        known = self.decide(now, told, done)
+        if not known or not (command.answered or command.out):
+            # The module failed, or left the command with nobody at work on it.
+            self.give_up(event.command, done)
+        self.forget(event.command)
+
+    def client_left(self, now: int, number: int, done: list[fx.Effect]) -> None:
+        command = self.commands.get(number)
+        if command is None or command.answered:
+            return
+        command.answered = True  # nobody is left to answer
+        if not self.decide(now, api.ClientGone(number), done):
+            self.give_up(number, done)
+        self.forget(number)
+
+    def give_up(self, number: int, done: list[fx.Effect]) -> None:
+        """Danger: a nack would say that trying again is harmless, and nobody knows whether it is."""
+        command = self.commands.get(number)
+        if command is None:
+            return
+        if not command.answered:
+            command.answered = True
+            done.append(fx.Failure(number))
+        done.extend(fx.AbandonAttempt(number, attempt) for attempt in sorted(command.out))
+        self.forget(number)
+
+    def forget(self, number: int) -> None:
+        command = self.commands.get(number)
+        if command is not None and command.answered and not command.out:
+            del self.commands[number]
+
+    def decide(self, now: int, event: api.Event, done: list[fx.Effect]) -> bool:
+        """Have the module handle an event; false if it failed, which must not harm any other command."""
+        try:
+            self.carry(now, self.policy.handle(now, event), done)
+            while self.moot:
+                self.carry(now, self.policy.handle(now, self.moot.pop(0)), done)
+        except Exception as err:
+            self.moot.clear()
+            what = f"{type(err).__name__}: {err}"
+            done.append(fx.WriteLog(f"decision failed on {type(event).__name__}: {what}"))
+            return False
+        return True
+
+    def carry(self, now: int, actions: Iterable[api.Action], done: list[fx.Effect]) -> None:
+        for action in actions:
+            kind = type(action)
+            if kind is api.Send:
+                self.start(now, action, done)  # type: ignore[arg-type]
+            elif kind is api.SetTimer:
+                done.append(fx.WakeAt(now + action.delay, action.token))  # type: ignore[union-attr]
+            elif isinstance(action, api.Count):
+                expires_at = now + self.settings.counter_timeout
+                done.append(fx.CallCounter(action.name, action.amount, action.lifetime, expires_at))
+            elif isinstance(action, api.Refuse | api.Fail):
+                command = self.commands.get(action.request)
+                if command is not None and not command.answered:
+                    command.answered = True
+                    if isinstance(action, api.Refuse):
+                        wait = min(action.retry_after, self.settings.max_retry_after)
+                        done.append(fx.Nack(action.request, wait))
+                    else:
+                        done.append(fx.Failure(action.request))
+                    self.forget(action.request)
+            elif isinstance(action, api.Cancel):
+                command = self.commands.get(action.request)
+                if command is not None and action.attempt in command.out:
+                    done.append(fx.AbandonAttempt(action.request, action.attempt))
+            elif isinstance(action, api.Log):
+                done.append(fx.WriteLog(action.text))
+            # SubscribeFleet and FetchFleet ask for nothing here: the watch on the name table always runs.
+
+    def start(self, now: int, action: api.Send, done: list[fx.Effect]) -> None:
+        command = self.commands.get(action.request)
+        number = command.attempts if command is not None else 0
+        over = command is None or command.answered
+        if (
+            command is None
+            or command.answered
+            or now >= command.expires_at
+            or number >= self.settings.max_attempts
+        ):
+            if command is not None:
+                command.attempts += 1
+            self.moot.append(
+                api.AttemptEnded(action.request, number, action.worker, api.Outcome.MOOT, 0, over)
+            )
+            return
+        command.attempts += 1
+        command.out.add(number)
+        expires_at = command.expires_at
+        if action.timeout:
+            expires_at = min(expires_at, now + action.timeout)
+        done.append(fx.StartAttempt(action.request, number, action.worker, expires_at))
--- a/vetchusher/wire.py
+++ b/vetchusher/wire.py
@@ -90,6 +90,7 @@
             worth=float(c.get("credit", 1.0)),
             late_share=float(c.get("late_share", 0.0)),
             stream=bool(c.get("stream", False)),
+            name=str(c.get("name", "")),
         )
         for c in tree["classes"]
     )
@@ -104,6 +105,7 @@
             ceiling_rate=float(p.get("hard_rate") or 0.0),
             ceiling_burst=float(p.get("ceiling_burst") or 0.0),
             ceiling_slack=float(p.get("ceiling_slack") or 0.0),
+            name=str(p.get("name", "")),
         )
         for p in tree.get("contracts", ())
     )
@@ -134,6 +136,10 @@
         ask_within=int(rules.get("ask_within") or 10_000_000),
         connection_idle=int(limits.get("conn_idle") or 15_000_000),
         tick=int(tree.get("granularity") or 1_000),
+        connect_limit=int(limits.get("connect_timeout") or 250_000),
+        open_cap=int(limits.get("open_cap") or 20_000),
+        zones=tuple(str(z) for z in tree.get("failure_domains", ())),
+        kinds=tuple(str(k) for k in tree.get("kinds", ())),
     )
 
 
