--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,403 @@
+"""Each rule on real sockets: an ingress among scripted peers."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+
+import orjson
+import pytest
+from net_helpers import (
+    CLOSE,
+    OK,
+    PERIOD,
+    READ,
+    TIPS,
+    Discovery,
+    Peer,
+    answer,
+    ask,
+    counting,
+    entry,
+    free_port,
+    ingress,
+    listing,
+    never,
+    run,
+    stage,
+    tree,
+    until,
+)
+
+from vetchusher.interface import Outcome
+from vetchusher.net import effects as fx
+from vetchusher.net.protocol import MOST_BODY
+
+ODD = "/a%2Fb//c%20d;e/%c3%a5?x=%20+&&y=;z&q=a%3Db?"
+
+
+@pytest.mark.parametrize(
+    ("target", "body"),
+    [(READ + ODD, b""), (READ + "?", b""), (TIPS + ODD, bytes(range(256))), (PERIOD, b"x" * MOST_BODY)],
+)
+def test_target_body_and_ids_pass_on_unchanged(target, body):
+    async def scene():
+        async with stage(lambda asked: OK) as (_, port, (server,)):
+            assert (await ask(port, target, body=body))[::2] == (200, b"whole body")
+            (asked,) = server.asked
+            assert asked.target == target and asked.body == body
+            assert asked.headers["Request-Id"] == "9b1f03aa5c7e2d41"
+            assert asked.headers.get("Idempotency-Key") == ("5c0f6e1a" if target.startswith(TIPS) else None)
+            assert 0 < float(asked.headers["Request-Timeout"]) <= 20
+            assert not {"User-Agent", "Accept-Encoding", "Cookie"} & set(asked.headers)
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    ("script", "target", "status"),
+    [
+        (lambda a: answer(b"x", 500), PERIOD, 502),
+        (lambda a: answer(b"x", 500), TIPS, 502),
+        (lambda a: answer(b"x", 500), READ, 503),
+        (lambda a: answer(b"", 503, Not_Started="1"), PERIOD, 503),
+        (lambda a: answer(b"", 504, Not_Started="1"), TIPS, 503),
+        (lambda a: answer(b"", 503), PERIOD, 502),  # nothing says that it never ran
+        (lambda a: CLOSE, PERIOD, 502),
+        (lambda a: b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\npart", PERIOD, 502),
+        (lambda a: b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\npart", READ, 503),
+        (lambda a: b"junk that is no HTTP\r\n\r\n", PERIOD, 502),
+        (lambda a: answer(b"x" * (MOST_BODY + 1)), PERIOD, 502),
+    ],
+)
+def test_what_an_attempt_came_to_decides_what_may_be_said(script, target, status):
+    async def scene():
+        async with stage(script) as (_, port, (server,)):
+            assert (await ask(port, target))[0] == status
+            assert len(server.asked) == 1
+
+    run(scene())
+
+
+@pytest.mark.parametrize("target", [READ, TIPS, PERIOD])
+def test_refused_connection_never_ran(target):
+    async def scene():
+        nobody = entry(free_port())
+        async with Discovery(nobody).open() as discovery, Peer(counting({})).open() as counter:
+            async with ingress(discovery, counter) as (_, port):
+                assert (await ask(port, target))[0] == 503
+
+    run(scene())
+
+
+def test_broken_before_the_last_byte_never_ran():
+    async def scene():
+        import socket
+
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        there = entry(listener.getsockname()[1])
+        async with Discovery(there).open() as discovery, Peer(counting({})).open() as counter:
+            async with ingress(discovery, counter) as (node, port):
+                asking = asyncio.create_task(ask(port, PERIOD, body=b"x" * MOST_BODY))
+                accepted, _ = await loop.sock_accept(listener)
+                await loop.sock_recv(accepted, 16)
+                await asyncio.sleep(0)
+                accepted.close()  # with bytes unread: a reset
+                status = (await asking)[0]
+                listener.close()
+                assert status in (502, 503)
+                return status
+
+    run(scene())
+
+
+def test_dropped_kept_connection_is_not_written_to_again_by_the_client_library():
+    async def scene():
+        replies = iter([OK, CLOSE, OK])
+        async with stage(lambda asked: next(replies)) as (_, port, (server,)):
+            assert (await ask(port))[0] == 200
+            assert (await ask(port))[0] == 503  # the module has nobody else to send it to
+            assert len(server.asked) == 2 and server.connections == 1
+
+    run(scene())
+
+
+def test_reset_is_repeated_elsewhere_only_where_that_is_harmless():
+    async def scene(target, attempts, status):
+        async with stage(lambda a: CLOSE, lambda a: CLOSE) as (_, port, servers):
+            assert (await ask(port, target))[0] == status
+            assert sum(len(s.asked) for s in servers) == attempts
+
+    run(scene(READ, 2, 503))
+    run(scene(TIPS, 1, 502))  # the other one is not of its cell
+    run(scene(PERIOD, 1, 502))
+
+
+@pytest.mark.parametrize(("target", "status"), [(READ, 503), (TIPS, 502), (PERIOD, 502)])
+def test_final_answer_comes_before_the_deadline_of_the_client(target, status):
+    async def scene():
+        async with stage(never) as (node, port, (server,)):
+            assert (await ask(port, target, Request_Timeout="0.15"))[0] == status
+            assert len(server.asked) == 1
+            await until(server.asked[0].ended.is_set)  # its connection is given up, not kept
+            assert not node.runtime.reducer.commands and not node.clients.taken
+
+    run(scene())
+
+
+def test_client_that_leaves_ends_its_attempt():
+    async def scene():
+        async with stage(never) as (node, port, (server,)):
+            asking = asyncio.create_task(ask(port, PERIOD))
+            await server.come.wait()
+            asking.cancel()
+            await until(server.asked[0].ended.is_set)
+            await until(lambda: not node.runtime.reducer.commands and not node.instances.attempts)
+
+    run(scene())
+
+
+def test_connection_never_up_ends_at_the_connect_limit():
+    async def scene():
+        import socket
+
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        there = full.getsockname()
+        held = [socket.socket() for _ in range(3)]
+        for sock in held:  # fills the line of those waiting to be accepted
+            sock.setblocking(False)
+            sock.connect_ex(there)
+        async with Discovery(entry(there[1])).open() as discovery, Peer(counting({})).open() as counter:
+            async with ingress(discovery, counter) as (_, port):
+                assert (await ask(port, PERIOD))[0] == 503
+        for sock in (full, *held):
+            sock.close()
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    ("target", "status", "given"),
+    [
+        ("/", 404, {}),
+        ("/unheard-of", 404, {}),
+        ("/read-shares", 405, {"method": "POST"}),
+        ("/close-period", 405, {"method": "GET"}),
+        (READ, 400, {"drop": ("Request-Id",)}),
+        (READ, 400, {"Request_Id": "two words"}),
+        (TIPS, 400, {"drop": ("Idempotency-Key",)}),
+        (READ, 400, {"Api_Plan": "unheard-of"}),
+        (READ, 400, {"Api_Customer": "xyz"}),
+        (READ, 400, {"Request_Timeout": "nan"}),
+        (READ, 400, {"Request_Timeout": "-1"}),
+        (READ, 400, {"Request_Timeout": "1e9"}),
+        (READ, 400, {"Request_Timeout": "99999999"}),
+        (READ, 400, {"Api_Terms": "units=1,spread=9,first=0"}),
+        (READ, 400, {"Api_Terms": "units=inf,spread=2,first=0"}),
+        (READ, 400, {"body": b"x"}),
+        (PERIOD, 413, {"body": b"x" * (MOST_BODY + 1)}),
+        (PERIOD, 400, {"Content_Length": "many"}),
+        (READ, 400, {"Bad\x01Name": "x"}),
+    ],
+)
+def test_bad_input_gets_a_plain_answer_and_never_reaches_the_module(target, status, given):
+    async def scene():
+        async with stage(lambda a: OK) as (node, port, (server,)):
+            assert (await ask(port, target, **given))[0] == status
+            assert node.clients.next_command == 1 and not server.asked
+            assert (await ask(port))[0] == 200
+
+    run(scene())
+
+
+def test_not_ready_before_the_name_table_has_come():
+    async def scene():
+        async with Peer(lambda a: OK).open() as server, Peer(counting({})).open() as counter:
+            gate = asyncio.Event()
+
+            async def late(asked):
+                await gate.wait()
+                return (
+                    answer(orjson.dumps(listing(entry(server.port))))
+                    if "after" not in asked.target
+                    else CLOSE
+                )
+
+            async with Peer(late).open() as discovery:
+                async with ingress(discovery, counter, ready=False) as (node, port):
+                    assert (await ask(port, "/health/ready", method="GET"))[0] == 503
+                    assert (await ask(port))[0] == 503 and not server.asked
+                    gate.set()
+                    await until(lambda: node.runtime.reducer.ready)
+                    assert (await ask(port, "/health/ready", method="GET"))[0] == 200
+                    assert (await ask(port))[0] == 200
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    "silent", [never, lambda a: CLOSE, lambda a: answer(b"junk"), lambda a: answer(b"", 503)]
+)
+def test_service_goes_on_with_the_cached_list(silent):
+    async def scene():
+        async with Peer(lambda a: OK).open() as server, Peer(counting({})).open() as counter:
+            async with Peer(silent).open() as discovery:
+                async with ingress(discovery, counter, listing(entry(server.port))) as (_, port):
+                    assert (await ask(port))[0] == 200
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    "news",
+    [
+        lambda gone, other: listing(entry(gone, "s-0", "DRAINING"), generation=2, reset=False),
+        lambda gone, other: listing({"instanceId": "s-0", "lifecycle": "DELETED"}, generation=2, reset=False),
+        lambda gone, other: listing(entry(other, "s-1"), generation=2),
+    ],
+)
+def test_nothing_new_goes_to_an_instance_that_drains_or_is_gone(news):
+    async def scene():
+        async with Peer(lambda a: OK).open() as gone, Peer(lambda a: OK).open() as other:
+            told = Discovery(entry(gone.port, "s-0"), entry(other.port, "s-1"))
+            async with told.open() as discovery, Peer(counting({})).open() as counter:
+                async with ingress(discovery, counter) as (node, port):
+                    discovery.news.put_nowait(news(gone.port, other.port))
+                    await until(lambda: node.names.version == 2)
+                    for _ in range(12):
+                        assert (await ask(port))[0] == 200
+                    assert len(other.asked) == 12 and not gone.asked
+                    await until(lambda: "after=2&" in discovery.asked[-1].target)
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        (lambda a: answer(b"12.5"), Outcome.OK),
+        (lambda a: answer(b"", 503), Outcome.FULL),
+        (lambda a: answer(b"", 404), Outcome.FULL),
+        (lambda a: answer(b"junk"), Outcome.TIMEOUT),
+        (lambda a: answer(b"nan"), Outcome.TIMEOUT),
+        (lambda a: CLOSE, Outcome.TIMEOUT),
+        (never, Outcome.TIMEOUT),
+        (None, Outcome.CONNECT_FAILED),
+    ],
+)
+def test_counter_calls_end_with_what_became_of_them(script, outcome):
+    async def scene():
+        async with stage(lambda a: OK) as (node, _, _servers):
+            replies = []
+            node.runtime.feed = replies.append
+            async with Peer(script or never).open() as counter:
+                node.counter.address = f"127.0.0.1:{counter.port if script else free_port()}"
+                expires_at = node.runtime.clock.now() + (50_000 if outcome == Outcome.TIMEOUT else 20_000_000)
+                node.counter.call(fx.CallCounter(77, -2.5, 4_000_000, expires_at))
+                await until(lambda: any(isinstance(r, fx.CounterReplied) for r in replies))
+                (reply,) = [r for r in replies if isinstance(r, fx.CounterReplied)]
+                assert (reply.name, reply.outcome) == (77, outcome)
+                assert reply.total == (12.5 if outcome == Outcome.OK else 0.0)
+                assert not script or counter.asked[0].target == "/v1/count/77?add=-2.5&ttl_ms=4000"
+
+    run(scene())
+
+
+def test_overload_is_nacked_and_leaves_no_trace():
+    async def scene():
+        async with stage(never) as (node, port, (server,)):
+            node.runtime.reducer.most_commands = 1
+            asking = asyncio.create_task(ask(port, PERIOD))
+            await server.come.wait()
+            assert (await ask(port, PERIOD))[0] == 503 and len(server.asked) == 1
+            asking.cancel()
+            await until(lambda: not node.runtime.reducer.commands)
+
+    run(scene())
+
+
+def test_failure_of_the_module_fails_its_own_command_only():
+    async def scene():
+        async with stage(lambda a: OK) as (node, port, _):
+            arrived = node.runtime.reducer.policy.request_arrived
+
+            def broken(now, event, acts):
+                if event.customer == 13:
+                    raise RuntimeError("broken")
+                arrived(now, event, acts)
+
+            node.runtime.reducer.policy.request_arrived = broken
+            assert (await ask(port, Api_Customer=f"{13:016x}"))[0] == 502
+            assert (await ask(port))[0] == 200
+
+    run(scene())
+
+
+def start_program(path):
+    environment = os.environ | {"NODE_CONFIG": str(path)}
+    command = [sys.executable, "-m", "vetchusher", "serve"]
+    return subprocess.Popen(command, env=environment, stderr=subprocess.PIPE)
+
+
+def test_sigterm_finishes_what_was_taken_and_ends_well(tmp_path):
+    async def scene():
+        gate = asyncio.Event()
+
+        async def held(asked):
+            await gate.wait()
+            return OK
+
+        port = free_port()
+        async with Peer(held).open() as server, Peer(counting({})).open() as counter:
+            async with Discovery(entry(server.port)).open() as discovery:
+                told = tree(*(f"127.0.0.1:{p}" for p in (port, discovery.port, counter.port)))
+                path = tmp_path / "config.json"
+                path.write_bytes(orjson.dumps(told))
+                program = start_program(path)
+                try:
+                    await until(lambda: discovery.asked and "after" in discovery.asked[-1].target)
+                    while not server.asked:  # a new ingress is careful and may refuse some
+                        asking = asyncio.create_task(ask(port, PERIOD))
+                        await until(lambda: server.asked or asking.done())  # noqa: B023
+                    kept = await asyncio.open_connection("127.0.0.1", port)
+                    program.send_signal(signal.SIGTERM)
+                    status = 200
+                    while status == 200:
+                        status = (await ask(port, "/health/ready", "GET", reader_writer=kept))[0]
+                        kept = await asyncio.open_connection("127.0.0.1", port)
+                    assert status == 503
+                    gate.set()
+                    status, headers, body = await asking
+                    assert (status, body, headers["Connection"]) == (200, b"whole body", "close")
+                    assert await kept[0].read() == b""  # kept ones are closed when the grace is over
+                    await until(lambda: program.poll() is not None)
+                    assert program.returncode == 0
+                finally:
+                    program.kill()
+                    program.communicate()
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    "raw", [b"", b"{}", b"[]", orjson.dumps(tree(listen="nowhere")), orjson.dumps(tree(classes=[]))]
+)
+def test_bad_configuration_is_one_line_and_a_code(tmp_path, raw):
+    path = tmp_path / "config.json"
+    path.write_bytes(raw)
+    program = start_program(path)
+    _, err = program.communicate(timeout=60)
+    assert program.returncode == 2 and err.startswith(b"vetchusher: ") and err.count(b"\n") == 1
+
+
+def test_module_and_adapter_load_no_web_library():
+    code = "import sys, vetchusher, vetchusher.wirehost; sys.exit('aiohttp' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], timeout=60).returncode == 0
