--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -54,6 +54,7 @@
 SHED_STEP, SHED_MOST = 0.8, 1.0  # gain of the shed share on the excess of late ones, and its bound
 SHED_FIRST, SHED_HALF = 0.3, 20.0  # shed at birth, as it may be into a jam; gateways at which half of that
 SHED_NOW, SHED_ODDS_MOST = 1.5, 0.95  # what that excess adds at once; some pass to tell when a jam is over
+SPARE_LATE = 0.15  # share of late attempts below which the fleet has room for free excess
 SHED_SPAN = 0.6  # of a worker's limit kept from customers by how much of their quota is used
 # Attempts
 HEDGE_MEANS, RETRY_EARN, RETRY_MOST = 4.0, 0.1, 20.0  # means before a copy; retries earned each, kept
@@ -679,17 +680,27 @@
         elif who.thin and usage <= 1.0 and not quota.passes_unseen(who, self.fleet.random.random()):
             usage = 2.0
         worker = None
-        if usage <= 1.0 and not quota.bars(now, who, job.units) and not self.fleet.sheds(usage, job.luck):
+        beyond_free = usage > 1.0 and self.spares(who)
+        if (usage <= 1.0 or beyond_free) and not quota.bars(now, who, job.units) and not self.fleet.sheds(usage, job.luck):
             worker = self.fleet.choose(now, job, usage)
         if worker is None:
             quota.give_back(job)
             acts.append(api.Refuse(job.id, self.advice(job.spec) if usage <= 1.0 else 0))
             self.finish(job, acts)
             return
-        quota.take(now, who, job.units, counted)
+        if beyond_free and not counted:  # beyond the quota it takes nothing from the store
+            quota.take(now, who, 0.0, True)
+        else:
+            quota.take(now, who, job.units, counted)
         self.retries = min(RETRY_MOST, self.retries + RETRY_EARN)
         self.send(now, job, worker, acts)
 
+    def spares(self, who: Customer) -> bool:
+        """Exception.  Danger: totals lag and windows are coarse; each honest request refused for that loses
+        its whole worth.  Where excess costs nothing and the fleet is idle enough, it passes uncounted."""
+        fleet, plan = self.fleet, who.plan
+        return plan.over_worth > plan.over_cost and fleet.shed <= 0.0 and fleet.late < SPARE_LATE
+
     def advice(self, spec: RequestClass) -> int:
         """When to come back after a jam's excess: soon enough for the aim, or the answer earns nothing."""
         return min(self.settings.max_retry_after, int(spec.aim * BACK_PART)) * self.settings.retry_after
