--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -54,15 +54,16 @@
 
 def test_free_excess_passes_uncounted_while_the_fleet_has_room():
     gate, service = known(plans=(replace(PLAN, over_worth=0.1, over_cost=0.0),))
+    gate.policy.fleet.late = 0.0
     for _ in range(60):
         assert gate.passes()
         gate.end(gate.sends[-1])
-    gate.advance(SECOND)
-    service.serve(gate)
-    assert sum(service.totals.values()) == 20.0  # what passed beyond the quota takes nothing from it
     gate.policy.fleet.late = 0.2
     rid, acts = gate.ask()
     assert acts == [api.Refuse(rid)]
+    gate.advance(SECOND)
+    service.serve(gate)
+    assert sum(service.totals.values()) == 20.0  # what passed beyond the quota takes nothing from it
 
 
 def test_beyond_quota_is_refused_at_once():
