--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+PYTHON = .venv/bin/python
+
+.PHONY: build dev test lint run
+
+build:
+	sh deploy/build
+
+dev: build
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+
+test: dev
+	$(PYTHON) -m pytest
+
+lint: dev
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check vetchusher/net tests/net_helpers.py tests/test_sockets.py
+	$(PYTHON) -m mypy
+
+run: build
+	$(PYTHON) -m vetchusher serve
