Turn down a name table of nothing but junk; more socket tests

A list whose every entry is unreadable was taken for a whole, empty list and would have removed every instance. New tests: closing instances, idle limit, cut uploads, pipelined commands, moved instances.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -106,7 +106,14 @@
 
 
 @pytest.mark.parametrize(
-    "raw", [b"", b"[]", b'{"generation":1}', b'{"generation":"x","reset":1,"instances":[]}']
+    "raw",
+    [
+        b"",
+        b"[]",
+        b'{"generation":1}',
+        b'{"generation":"x","reset":1,"instances":[]}',
+        b'{"generation":1,"reset":1,"instances":"all"}',
+    ],
 )
 def test_name_tables_that_cannot_be_read(raw):
     with pytest.raises(protocol.Malformed):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -25,7 +25,9 @@
     ingress,
     listing,
     never,
+    read_message,
     run,
+    settings,
     stage,
     tree,
     until,
@@ -83,6 +85,71 @@
     run(scene())
 
 
+def test_instance_that_closes_after_its_answer_is_reached_anew():
+    async def scene():
+        closing = b"HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 10\r\n\r\nwhole body"
+        async with stage(lambda a: closing) as (_, port, (server,)):
+            for _ in range(2):
+                assert (await ask(port, PERIOD))[::2] == (200, b"whole body")
+            assert server.connections == 2
+
+    run(scene())
+
+
+def test_connection_near_the_idle_limit_is_not_used_again():
+    async def scene():
+        async with stage(lambda a: OK) as (node, port, (server,)):
+            node.instances.session.connector._keepalive_timeout = 0.0
+            for _ in range(2):
+                assert (await ask(port))[0] == 200
+            assert server.connections == 2
+        short = settings()["limits"] | {"conn_idle": 10_000_000}
+        async with stage(lambda a: OK, limits=short) as (node, _, _servers):
+            assert node.instances.session.connector._keepalive_timeout == 7.0
+
+    run(scene())
+
+
+class Cut:
+    """A writer that keeps the last bytes back."""
+
+    def __init__(self, writer, kept):
+        self.writer, self.kept = writer, kept
+
+    def write(self, data):
+        self.writer.write(data[: -self.kept])
+
+
+@pytest.mark.parametrize("body", [b"", b"half of it"])
+def test_client_that_leaves_before_its_last_byte_was_never_taken(body):
+    async def scene():
+        async with stage(lambda a: OK) as (node, port, (server,)):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            cut = (reader, Cut(writer, 10))
+            asking = asyncio.create_task(ask(port, PERIOD, reader_writer=cut, body=body + b"x" * 10))
+            await until(lambda: node.clients.server.requests_count == 1)
+            writer.close()
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await asking
+            await until(lambda: not node.clients.server.connections)
+            assert node.clients.next_command == 1 and not server.asked
+
+    run(scene())
+
+
+def test_commands_written_one_behind_another_are_answered_in_order():
+    async def scene():
+        async with stage(lambda a: answer(a.target.encode())) as (_, port, _servers):
+            pair = await asyncio.open_connection("127.0.0.1", port)
+            first = asyncio.create_task(ask(port, READ + "/1", reader_writer=pair))
+            await asyncio.sleep(0)
+            pair[1].write(b"GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await first)[2] == b"/read-shares/1"
+            assert (await read_message(pair[0]))[0].startswith("HTTP/1.1 200")
+
+    run(scene())
+
+
 @pytest.mark.parametrize("target", [READ, TIPS, PERIOD])
 def test_refused_connection_never_ran(target):
     async def scene():
@@ -330,6 +397,19 @@
     run(scene())
 
 
+def test_instance_that_moves_is_reached_at_its_new_address():
+    async def scene():
+        async with Peer(lambda a: OK).open() as old, Peer(lambda a: OK).open() as new:
+            async with Discovery(entry(old.port)).open() as discovery, Peer(counting({})).open() as counter:
+                async with ingress(discovery, counter) as (node, port):
+                    assert (await ask(port))[0] == 200 and len(old.asked) == 1
+                    discovery.news.put_nowait(listing(entry(new.port), generation=2, reset=False))
+                    await until(lambda: node.names.version == 2)
+                    assert (await ask(port))[0] == 200 and len(new.asked) == 1
+
+    run(scene())
+
+
 def test_overload_is_nacked_and_leaves_no_trace():
     async def scene():
         async with stage(never) as (node, port, (server,)):
--- a/vetchusher/net/protocol.py
+++ b/vetchusher/net/protocol.py
@@ -193,6 +193,9 @@
         done.change.entries.append(entry)
         if address:
             done.addresses[entry.worker] = address
+    if listed and not done.change.entries:
+        # Danger: junk taken for a whole list would remove every instance.
+        raise Malformed("no entry of the name table can be read")
     return done
 
 
