Give scarce counter calls to those near their quota; let newcomers into a full house sooner

Causes: `Quota.customer` read both windows of every newcomer at once and `pump` served its line in order of arrival, so one-off customers took the calls that those near their quota needed; `answered` cut the pace for each unreadable answer as for a crowded counter, and a connection that brought one went back to the pool. door.py kept whoever had had an answer 2.1 s even while others waited outside, and mute ones 0.25 s.

Now: customers below half of their share here wait behind the others and drop out with their windows; an unreadable or broken counter answer is told as such (added, never again; no cut of the pace), and its connection closed; workers gone leave the module's maps. A full house also closes whoever has had its answer, eight at a time. A connection lost before sending is given back (log: "Unclosed connection").

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -168,6 +168,46 @@
         assert [c.amount for c in gate.calls if c.amount] == [4.0]
 
 
+def test_unreadable_answer_counts_as_added_and_leaves_the_pace():
+    gate, service = known()
+    call = push(gate, service, 4)
+    pace = gate.policy.quota.pace
+    gate.count(call, outcome=Outcome.ERROR)
+    assert gate.policy.quota.pace == pace
+    gate.advance(SECOND)
+    assert sum(c.amount for c in gate.calls) == 0.0
+    gate.settle_reads()
+
+
+def scarce():
+    """A gateway with no call to spare, and one customer near its quota behind a crowd that came once."""
+    gate = Gate()
+    gate.policy.quota.pace = gate.policy.quota.tokens = 0.0
+    for customer in range(100, 300):
+        assert gate.passes(customer=customer)
+        gate.end(gate.sends[-1])
+    for _ in range(8):
+        assert gate.passes(customer=7)
+        gate.end(gate.sends[-1])
+    return gate
+
+
+def test_scarce_calls_go_to_those_near_their_quota_first():
+    gate = scarce()
+    gate.advance(SECOND // 8)
+    gate.policy.quota.tokens = 1.0
+    gate.advance(SECOND // 8)
+    assert 8.0 in [c.amount for c in gate.calls]
+
+
+def test_crowd_that_came_once_leaves_nothing_behind():
+    gate = scarce()
+    for _ in range(200):
+        gate.advance(SECOND // 8)
+    quota = gate.policy.quota
+    assert not gate.calls and len(quota.behind) == 0 and len(quota.customers) <= 1
+
+
 def test_lost_counts_keep_the_floor_and_restore_only_own_units():
     gate, service = known()
     service.totals = {name: total + 10.0 for name, total in service.totals.items()}  # from elsewhere
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -539,3 +539,16 @@
             kept += 1
             assert job.over or job.out or id(job) in waiting
     assert kept > 200
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_workers_that_are_gone_leave_nothing_behind(whole):
+    gate = Gate(workers=2)
+    for i in range(2, 40):
+        rid, _ = gate.ask(customer=i)
+        gate.end(gate.sends[-1])
+        came, gone = Gate.entry(i), Gate.entry(i - 2, WorkerState.GONE)
+        news = [Gate.entry(i - 1), came] if whole else [came, gone]
+        gate.do(api.FleetChanged(FleetKind.FULL if whole else FleetKind.DELTA, i, news))
+    fleet = gate.policy.fleet
+    assert len(fleet.workers) == 2 and len(fleet.links) <= 2
--- a/vetchusher/net/counter.py
+++ b/vetchusher/net/counter.py
@@ -11,7 +11,7 @@
 from vetchusher import interface as api
 
 from . import effects as fx
-from .links import Links, NeverSent, open_session, read_body, sending, target_url
+from .links import Link, Links, NeverSent, open_session, read_body, sending, target_url
 from .protocol import counter_path, read_total
 from .runtime import Runtime
 
@@ -29,6 +29,7 @@
     task: asyncio.Task[None] | None = None
     expiry: asyncio.TimerHandle | None = None
     begun: bool = False
+    link: Link | None = None
     done: bool = False
 
     def answering(self) -> None:
@@ -86,13 +87,15 @@
             response = await self.session.post(target_url(call.holder, path), allow_redirects=False)
             body = await read_body(response)
             outcome, total = read_total(response.status, body or b"")
+            if outcome == api.Outcome.ERROR and call.link is not None:
+                call.link.surplus()  # whoever spoilt this answer brings no other on the same connection
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, NeverSent):
             outcome = api.Outcome.CONNECT_FAILED
         except (aiohttp.ClientError, OSError):
-            outcome = api.Outcome.TIMEOUT  # it may have been added, or may yet be
+            outcome = api.Outcome.ERROR  # it may have been added, or may yet be
         except Exception as err:
             log.warning("counter call failed: %s: %s", type(err).__name__, err)
-            outcome = api.Outcome.TIMEOUT
+            outcome = api.Outcome.ERROR
         self.finish(call, outcome, total)
 
     async def close(self) -> None:
--- a/vetchusher/net/door.py
+++ b/vetchusher/net/door.py
@@ -20,7 +20,9 @@
 SWEEP_S = 0.1
 FIRST_S = 2.2  # from connecting, or from a command's first byte, to its last
 IDLE_S = 2.1  # without a command: from then on a connection may be closed to make room
-MUTE_S = 0.25  # the same for one that has never sent a whole command, while others wait outside
+MUTE_S = 0.1  # the same for one whose command has not come whole, while others wait outside
+SPENT_S = 0.1  # and, where no such is left, for one that has had its answer
+ROOM = 8  # connections closed at a time to make room: a crowd comes at once
 KEPT_PART = 0.6  # of the places: above that those idle longest are closed
 BACKLOG = 1024
 KEEPALIVE_S = 3600.0  # the sweep ends connections: aiohttp's own timer knows nothing of half-sent commands
@@ -163,8 +165,15 @@
         return sorted(some, key=lambda c: c.since)
 
     def make_room(self) -> bool:
-        """Close the connection idle longest, else the one that has been mute longest."""
-        return any(c.shut() for some in ((False, IDLE_S), (True, MUTE_S)) for c in self.idle(*some))
+        """Close those idle longest, else those mute longest, else whoever has had an answer.
+
+        Danger: a full house of young connections would keep commands that wait outside until it is too
+        late to serve them; who has just had an answer can connect again.
+        """
+        for begun, seconds in ((False, IDLE_S), (True, MUTE_S), (False, SPENT_S)):
+            if sum(link.shut() for link in self.idle(begun, seconds)[:ROOM]):
+                return True
+        return False
 
     def sweep(self) -> None:
         for link in self.idle(True, FIRST_S):
--- a/vetchusher/net/instances.py
+++ b/vetchusher/net/instances.py
@@ -15,7 +15,7 @@
 from vetchusher import interface as api
 
 from . import effects as fx
-from .links import Links, NeverSent, open_session, read_body, sending, target_url
+from .links import Link, Links, NeverSent, open_session, read_body, sending, target_url
 from .protocol import address_text, attempt_outcome, seconds_text
 from .runtime import Runtime
 
@@ -46,6 +46,7 @@
     task: asyncio.Task[None] | None = None
     expiry: asyncio.TimerHandle | None = None
     begun: bool = False
+    link: Link | None = None
     stalled: bool = False  # its answer has begun and not ended
 
     def answering(self) -> None:
--- a/vetchusher/net/links.py
+++ b/vetchusher/net/links.py
@@ -35,6 +35,7 @@
     """What a task sends: it learns here that it has a connection and is being written."""
 
     begun: bool
+    link: Link | None  # the connection that it is written to
 
     @property
     def holder(self) -> object:
@@ -178,8 +179,9 @@
     async def send(self, conn: Any) -> aiohttp.ClientResponse:
         transport, call = conn.transport, sending.get()
         if transport is None or transport.is_closing():
+            conn.close()
             raise NeverSent("connection lost before the request was written")
-        call.begun = True
+        call.begun, call.link = True, conn.protocol
         conn.protocol.expect(call)
         # With no room above nothing, "writing paused" says that bytes still wait in this process.
         transport.set_write_buffer_limits(high=0)
--- a/vetchusher/net/name_table.py
+++ b/vetchusher/net/name_table.py
@@ -12,7 +12,7 @@
 from vetchusher import interface as api
 
 from . import effects as fx
-from .links import open_session, sending, target_url
+from .links import Link, open_session, sending, target_url
 from .protocol import Malformed, NameChange, read_names
 from .runtime import Runtime
 
@@ -39,6 +39,7 @@
         self.session = open_session(2, 60e6, REPLY_US, lambda holder: holder == self.address)
         self.task: asyncio.Task[None] | None = None
         self.begun = False
+        self.link: Link | None = None
 
     @property
     def holder(self) -> str:
--- a/vetchusher/net/protocol.py
+++ b/vetchusher/net/protocol.py
@@ -161,12 +161,12 @@
 
 def read_total(status: int, body: bytes) -> tuple[int, float]:
     """The outcome of an answered counter call and its total."""
-    if status != 200:
+    if status in (400, 404, 503):
         return api.Outcome.FULL, 0.0
     text = body.strip()
-    if not _TOTAL.fullmatch(text) or not math.isfinite(total := float(text)):
+    if status != 200 or not _TOTAL.fullmatch(text) or not math.isfinite(total := float(text)):
         # Danger: the amount stands there, but what the answer says of the total is junk.
-        return api.Outcome.TIMEOUT, 0.0
+        return api.Outcome.ERROR, 0.0
     return api.Outcome.OK, total
 
 
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -29,6 +29,7 @@
 BEYOND_GAIN, PASS_LEAST = 0.12, 0.1  # weight of the newest sample in a plan's share beyond; passed at least
 SHARE_GAIN, SHARE_LEAST = 0.3, 4.0  # newest sample of the share seen here; units below which it is chance
 LOST_TOLERANCE = 1e-5  # relative: totals come back with seven digits
+KEEN_PART = 0.5  # of the limit: a customer here below this waits for calls behind those above
 NAME_SPARE_US, NAME_MOST_US = 2_000_000, 60_000_000  # us a name outlives its use; none is kept longer
 SWEPT = 8  # customers looked at each tick for idle ones: bounds memory under one-off crowds
 # Routing and health
@@ -62,6 +63,7 @@
 LOG_PAUSE_US = 1_000_000  # us between two log lines of a kind
 
 Actions = list[api.Action]
+DUE, BEHIND, WAITING = 1, 2, 3  # where a customer with something to push stands
 TICK_TOKEN, LATE_TOKEN, WATCH_TOKEN, TOKEN_KIND = 1 << 60, 2 << 60, 3 << 60, 15 << 60
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 
@@ -85,6 +87,7 @@
         self.at = 0
         self.calls: dict[int, tuple[Customer, Window]] = {}
         self.waiting: deque[Customer] = deque()  # due, but the calls out are at their bound
+        self.behind: deque[Customer] = deque()  # the same, of those whose totals can hardly matter yet
         self.held: dict[int, list[Job]] = {}  # by the name of the call they wait for
         self.first_pace = CALLS_FIRST / settings.gateways / settings.counter_timeout * 1e6
         self.pace = self.first_pace
@@ -109,8 +112,8 @@
             who = Customer(key, plan, doors, length, cur, prev, now, level, now, thin, 1.0 / doors)
             self.customers[key] = who
             if length and self.settings.counter and not thin:
-                who.cur.known, who.prev.known, who.queued = False, False, True
-                self.waiting.append(who)  # the immediate read
+                who.cur.known, who.prev.known = False, False
+                self.line_up(who)  # the immediate read
                 self.pump(now, acts)
         else:
             who.recent = now - who.seen_at < who.length
@@ -248,24 +251,42 @@
 
     def queue(self, who: Customer) -> None:
         if not who.queued:
-            who.queued = True
+            who.queued = DUE
             self.slots[mix64(who.key) % SYNC_SLICES].append(who)
+        elif who.queued == BEHIND and self.keen(who):
+            self.line_up(who)  # its place behind is passed over
 
     def tick(self, now: int, acts: Actions) -> None:
         """Push one slice of the customers that owe."""
         self.at = (self.at + 1) % SYNC_SLICES
-        self.waiting.extend(self.slots[self.at])
-        self.slots[self.at] = []
+        due, self.slots[self.at] = self.slots[self.at], []
+        for who in due:
+            self.line_up(who)
         self.pump(now, acts)
         self.sweep(now)
 
+    def keen(self, who: Customer) -> bool:
+        """Danger: where customers that come once take the calls there are, the totals of those near their
+        quota grow old, and more is passed beyond quotas than all the others use."""
+        mine = who.cur.mine + who.prev.mine
+        return who.thin or mine >= KEEN_PART * who.plan.burst / who.doors or who.cur.restore > 0.0
+
+    def line_up(self, who: Customer) -> None:
+        who.queued = WAITING if self.keen(who) else BEHIND
+        (self.waiting if who.queued == WAITING else self.behind).append(who)
+
     def pump(self, now: int, acts: Actions) -> None:
         """Make calls at a pace that may be far below one a second.  Danger: more only lengthen the line."""
-        while self.waiting and self.paid(now) >= 1.0 + self.waiting[0].thin:
-            who = self.waiting.popleft()
-            who.queued = False
-            self.roll(now, who)
-            self.push(who, acts)
+        while self.behind and now - self.behind[0].seen_at >= 2 * self.behind[0].length:
+            who = self.behind.popleft()  # its windows are over: what it passed counts nowhere
+            if who.queued == BEHIND:
+                who.queued = 0
+        while (line := self.waiting or self.behind) and self.paid(now) >= 1.0 + line[0].thin:
+            who = line.popleft()
+            if who.queued == (WAITING if line is self.waiting else BEHIND):
+                who.queued = 0
+                self.roll(now, who)
+                self.push(who, acts)
 
     def push(self, who: Customer, acts: Actions) -> None:
         for window in (who.prev, who.cur):
@@ -319,10 +340,11 @@
             if (total := who.cur.count() + who.prev.count()) >= SHARE_LEAST:
                 who.share += SHARE_GAIN * (min(1.0, (who.cur.mine + who.prev.mine) / total) - who.share)
         else:
-            self.pace = max(CALLS_LEAST, self.pace * CALLS_CUT)
+            if event.outcome != Outcome.ERROR:  # an unreadable answer tells nothing of the pace
+                self.pace = max(CALLS_LEAST, self.pace * CALLS_CUT)
             if self.pace <= CALLS_LEAST:
                 self.log.add(now, acts, "counter", "counter failing: customers held to their share here")
-            if event.outcome == Outcome.TIMEOUT:
+            if event.outcome in (Outcome.TIMEOUT, Outcome.ERROR):
                 window.total += sent  # it may stand there: never sent twice
                 window.doubt += sent
             else:
@@ -385,8 +407,13 @@
                 worker.ready = worker.ready and worker.id in named
         self.ready = [w for w in self.workers.values() if w.ready]
         self.resting = sum(w.on_trial for w in self.ready)
-        if len(self.workers) > 4 * len(self.ready) + 64:
-            self.workers = {w.id: w for w in self.workers.values() if w.ready or w.out}
+        # Danger: fleets are replaced for ever; attempts still out hold their own reference.
+        gone = {e.worker for e in event.entries if e.state == WorkerState.GONE}
+        stays = self.workers.keys() - gone if event.kind == FleetKind.DELTA else named - gone
+        self.workers = {w.id: w for w in self.workers.values() if w.id in stays}
+        for worker in self.links:
+            worker.linked = worker.ready
+        self.links = [w for w in self.links if w.ready]
 
     def begin_slow_start(self, worker: Worker, started_at: int) -> None:
         rules = self.settings
@@ -464,7 +491,7 @@
             if now >= worker.linked_until:
                 self.refused -= CONNECT_GAIN * self.refused
             worker.linked_until, worker.shut = now + self.settings.connection_idle, 0
-            if not worker.linked:
+            if not worker.linked and worker.ready:
                 worker.linked = True
                 self.links.append(worker)
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
--- a/vetchusher/state.py
+++ b/vetchusher/state.py
@@ -53,7 +53,7 @@
     counted: bool = False  # a first total has come
     heard_at: int = -1  # the last good answer for the current window; -1: none
     unsure_since: int = -1  # oldest own units that no good answer has followed; -1: none
-    queued: bool = False
+    queued: int = 0  # the line it stands in, if any
     recent: bool = False  # it came here less than a window before
     out: int = 0
 
