Let idle links rest 30 ms and learn from resets how long they live

Ruled out: resets that the event loop had not come to (poll on the socket before each use finds them). Now: 30 ms of rest; `Trust` cuts the idle time believed in to 0.8 of the one found dead and doubles it again every 20 s. A new connection costs about a millisecond.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,6 +6,7 @@
 import orjson
 import pytest
 from net_helpers import (
+    CLOSE,
     OK,
     PERIOD,
     READ,
@@ -132,6 +133,32 @@
     run(scene())
 
 
+def test_idle_time_at_which_connections_were_dead_is_trusted_less_for_a_while():
+    trust = links.Trust(10.0)
+    assert trust.span(100.0) == 10.0
+    trust.lost(100.0, 0.125)
+    assert trust.span(100.0) == pytest.approx(0.1)
+    trust.lost(101.0, 5.0)  # longer ones say nothing new
+    assert trust.span(101.0) < 0.1
+    trust.lost(102.0, 0.001)
+    assert trust.span(102.0) == links.TRUST_LEAST_S
+    assert trust.span(102.0 + links.TRUST_AGAIN_S) == 2 * links.TRUST_LEAST_S and trust.span(1e9) == 10.0
+
+
+def test_kept_connection_reset_at_its_next_request_shortens_the_trust(monkeypatch):
+    monkeypatch.setattr(links, "REST_S", 0.0)
+    monkeypatch.setattr(links, "DEAD_S", 30.0)
+
+    async def scene():
+        replies = iter([OK, CLOSE, OK])
+        async with stage(lambda a: next(replies)) as (node, port, (server,)):
+            trust = node.instances.session.connector.trust
+            assert (await ask(port))[0] == 200 and trust.limit == trust.most
+            assert (await ask(port))[0] == 503 and trust.limit < trust.most
+
+    run(scene())
+
+
 INTERIM = b"HTTP/1.1 102 X\r\n\r\n"
 
 
--- a/vetchusher/net/links.py
+++ b/vetchusher/net/links.py
@@ -20,7 +20,10 @@
 from .protocol import MOST_BODY
 
 MOST_HEAD = 16 * 1024
-REST_S = 0.002  # between an answer and the next request: what its sender still does comes by then
+REST_S = 0.03  # between an answer and the next request: what its sender still does comes by then
+TRUST_PART, TRUST_LEAST_S = 0.8, 0.06  # of the idle time at which a connection was found dead; least kept
+TRUST_AGAIN_S = 20.0  # in this time twice as long an idle time is trusted again
+DEAD_S = 0.02  # a connection that was dead before a request is reset this soon after it
 
 _LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,18})[ \t]*\r\n", re.IGNORECASE)
 _CODED = re.compile(rb"\r\ntransfer-encoding:", re.IGNORECASE)
@@ -48,6 +51,26 @@
 sending: ContextVar[Sending] = ContextVar("sending")  # of the running task
 
 
+class Trust:
+    """How long idle connections live, learned from those that were reset at their next request.
+
+    Danger: peers may close idle connections far earlier than they say and without a word; each request
+    written to one of those may have run, for all that is known.  A new connection costs a millisecond.
+    """
+
+    def __init__(self, most: float) -> None:
+        self.most = most
+        self.limit, self.at = most, 0.0
+
+    def span(self, now: float) -> float:
+        doublings = min(30.0, (now - self.at) / TRUST_AGAIN_S)
+        return float(min(self.most, self.limit * 2.0**doublings))
+
+    def lost(self, now: float, idle: float) -> None:
+        self.limit = max(TRUST_LEAST_S, TRUST_PART * min(idle, self.span(now)))
+        self.at = now
+
+
 class Link(ResponseHandler):
     """One connection.  It hands the parser the bytes of one answer for each request, and no more.
 
@@ -55,16 +78,25 @@
     answer before it; kept, a copy would answer the next command on this connection.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, trust: Trust) -> None:
         super().__init__(loop)
+        self.trust = trust
         self.holder: object = None
         self.waiting: Sending | None = None  # whose answer has not come whole
         self.head = b""  # of the answer, as far as it has come
         self.left = 0  # bytes of its body still to come; below nothing: the parser finds the end
-        self.idle_since = 0.0
+        self.idle_since = self.begun_at = 0.0
 
     def expect(self, call: Sending) -> None:
         self.holder, self.waiting, self.head, self.left = call.holder, call, b"", 0
+        self.begun_at = self._loop.time()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        now = self._loop.time()
+        unanswered = self.waiting is not None and not (self.head or self.left)
+        if unanswered and self.idle_since and now - self.begun_at < DEAD_S:
+            self.trust.lost(now, self.begun_at - self.idle_since)
+        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         if not data:
@@ -142,20 +174,24 @@
         )
         self.most = most
         self.keeps = keeps  # whether a holder is still there
-        self._factory = cast(Any, functools.partial(Link, asyncio.get_running_loop()))
+        self.trust = Trust(idle_us / 1e6)
+        self._factory = cast(Any, functools.partial(Link, asyncio.get_running_loop(), self.trust))
 
     async def _get(self, key: Any, traces: Any) -> Any:
         # Danger: an address may have passed to a new holder, and what came unread on an idle connection
         # would be taken for the next answer.
         while (found := await super()._get(key, traces)) is not None:
             link = cast(Link, found.protocol)
-            if link.holder == sending.get().holder and link.quiet():
-                if self._loop.time() - link.idle_since >= REST_S:
+            now = self._loop.time()
+            idle = now - link.idle_since
+            if link.holder == sending.get().holder and idle <= self.trust.span(now) and link.quiet():
+                if idle >= REST_S:
                     break
                 # Danger: peers close right after an answer, or send it twice; a request that crosses
                 # either is lost.  The longest idle come first: all the others rest as well.
+                since = link.idle_since
                 super()._release(key, link)
-                found._protocol = None
+                found._protocol, link.idle_since = None, since
                 return None
             found.close()
         return found
