Close idle clients above a third of the places, so that their front can open new connections

Replays with probes: from the moment when a node held 180 connections, about half of the tries reached no node, at the ones that were up as well as beside those that restarted; 128 of the 180 were idle after one answer, the others mute. 128 is a third of the 384 descriptors.

Now: where more than a third of the places are idle, the longest idle are closed, whatever their age.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -366,3 +366,19 @@
             busy.cancel()
 
     run(scene())
+
+
+def test_idle_connections_above_their_part_are_closed_the_longest_idle_first():
+    async def scene():
+        async with stage(lambda a: OK) as (node, port, _):
+            node.clients.door.places = 9
+            pairs = [await asyncio.open_connection("127.0.0.1", port) for _ in range(8)]
+            for pair in pairs:
+                assert (await ask(port, "/health/live", "GET", reader_writer=pair))[0] == 200
+            for reader, _ in pairs[:5]:
+                assert await reader.read() == b""
+            assert (await ask(port, reader_writer=pairs[-1]))[0] == 200
+            for _, writer in pairs:
+                writer.close()
+
+    run(scene())
--- a/vetchusher/net/door.py
+++ b/vetchusher/net/door.py
@@ -23,7 +23,7 @@
 MUTE_S = 0.1  # the same for one whose command has not come whole, while others wait outside
 SPENT_S = 0.1  # and, where no such is left, for one that has had its answer
 ROOM = 8  # connections closed at a time to make room: a crowd comes at once
-KEPT_PART = 0.6  # of the places: above that those idle longest are closed
+KEPT_PART = 1 / 3  # of the places: where more are idle, those idle longest are closed
 BACKLOG = 1024
 KEEPALIVE_S = 3600.0  # the sweep ends connections: aiohttp's own timer knows nothing of half-sent commands
 LINGER_S = 0.2  # what is still sent after an error is read away this long, so that the client can read it
@@ -178,9 +178,11 @@
     def sweep(self) -> None:
         for link in self.idle(True, FIRST_S):
             link.shut()
-        if (surplus := len(self.links) - int(self.places * KEPT_PART)) > 0:
-            for link in self.idle(False, IDLE_S)[:surplus]:
-                link.shut()
+        # Danger: whoever opens connections for many clients has a limit of its own; with idle ones held up
+        # to that, no new client could reach this ingress though it has room.
+        idle = self.idle(False, SPENT_S)
+        for link in idle[: max(0, len(idle) - int(self.places * KEPT_PART))]:
+            link.shut()
         self.let_in()
         self.sweeper = self.loop.call_at(self.loop.time() + SWEEP_S, self.sweep)
 
