Remember what passes beyond quotas, and let ingresses tell their counts while the counter fails

Need: a firm's quota must hold over all ingresses when the counter is silent, slow, emptied or split.

The change: the ended window is read once more where it can matter; the store of rate and burst beside the windows goes below nothing and refuses, for plans whose excess costs; vetchusher/limits holds the counter's state, the peers' sums and their datagrams (peer_listen, peers; Say and Heard on the simulator's wire).

--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -266,6 +266,7 @@
         await node.names.close()
         await node.instances.close()
         await node.counter.close()
+        node.peers.close()
 
 
 @asynccontextmanager
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -28,6 +28,10 @@
     return passed
 
 
+# Excess earns what it costs: the store beside the windows refuses nobody.
+FREE = (replace(PLAN, over_worth=1.0, over_cost=1.0),)
+
+
 def use_up(gate):
     """Leave nothing for the unused-quota exception, so that the windows alone decide."""
     for who in gate.policy.quota.customers.values():
@@ -74,7 +78,7 @@
 
 
 def test_last_window_counts_by_its_remaining_weight():
-    gate, service = known()
+    gate, service = known(plans=FREE)
     fill(gate)
     gate.advance(SECOND)
     service.serve(gate)
@@ -209,7 +213,7 @@
 
 
 def test_lost_counts_keep_the_floor_and_restore_only_own_units():
-    gate, service = known()
+    gate, service = known(plans=FREE)
     service.totals = {name: total + 10.0 for name, total in service.totals.items()}  # from elsewhere
     call = push(gate, service, 4)
     service.serve(gate)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -305,8 +305,9 @@
     worker = gate.policy.fleet.ready[0]
     worker.limit = 10.0
     worker.out = 8
+    asked = api.RequestArrived(1, 0, 0, 7, SECOND, 1.0, 2.0)
     for _ in range(9):
-        gate.policy.quota.take(gate.now, gate.policy.quota.customer(gate.now, 7, 0, 2.0, []), 1.0, False)
+        gate.policy.quota.take(gate.now, gate.policy.quota.customer(gate.now, asked, []), 1.0, False)
     assert not gate.passes(customer=7)
     assert gate.passes(customer=8)
 
--- a/vetchusher/interface.py
+++ b/vetchusher/interface.py
@@ -108,6 +108,8 @@
     tick: int = 1_000
     connect_limit: int = 250_000  # a connection not up by then has failed
     open_cap: int = 20_000  # requests that a gateway may hold open
+    peers: bool = False  # gateways may send one another datagrams
+    peer_in_per_s: float = 0.0  # of which each takes in so many a second; 0: no such limit
     zones: tuple[str, ...] = ()
     kinds: tuple[str, ...] = ()
 
@@ -267,6 +269,15 @@
 @dataclass(slots=True)
 class Log:
     text: str
+    facts: dict[str, object] = field(default_factory=dict)  # the same in figures
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Count | SubscribeFleet | FetchFleet | Log
+@dataclass(slots=True)
+class Say:
+    """Send a datagram of at most 256 bytes to one gateway of the tier, or to all of them."""
+
+    data: bytes
+    peer: int | None = None
+
+
+Action = Send | Refuse | Fail | Cancel | SetTimer | Count | SubscribeFleet | FetchFleet | Log | Say
--- /dev/null
+++ b/vetchusher/limits/codec.py
@@ -0,0 +1,149 @@
+"""What ingresses write to one another: one datagram, at most 256 bytes.
+
+    version u8 | state u8 (low 4 bits), flags (high 4) | sender u16 | life u32 | sent at u64 (ms)
+    entries:   firm 40 bits | window u8 (low 6 bits), echo bit, 0 | amount, 1/16 units, base 128
+    seal:      12 bytes of a keyed hash over all before it; absent where no key is set
+
+All numbers are little-endian.  A firm is its customer id (33 bits) and its plan (7 bits).  An amount is the
+sum of all that the sender passed for the firm in that window of its present life, so a message that comes
+twice, late or out of order changes nothing.
+"""
+
+from __future__ import annotations
+
+import hmac
+import math
+import struct
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from .health import State
+
+MOST_BYTES = 256
+VERSION = 1
+ASKS, NEWBORN = 1, 2  # flags: wants the others' counts; has just been started
+SEAL_BYTES = 12
+PARTS = 16.0  # of a unit: amounts are rounded up to these
+MOST_AMOUNT = (1 << 28) - 1
+WINDOWS = 64  # a window's number is sent by its remainder
+FRESH_MS = 2_000  # a message whose time differs by more than this is old, or comes from a wrong clock
+
+_HEAD = struct.Struct("<BBHIQ")
+_FIRM = struct.Struct("<IBB")
+_ECHO = 64
+
+Seal = Callable[[bytes], bytes]
+
+
+class Unreadable(Exception):
+    """The datagram is not one of ours; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """Units passed for one firm in one window."""
+
+    firm: int  # see `firm_number`
+    window: int  # modulo WINDOWS
+    amount: float
+    echo: bool = False  # not the sender's: what the receiver passed in former lives
+
+
+@dataclass(slots=True, frozen=True)
+class Message:
+    sender: int
+    life: int
+    state: State
+    flags: int
+    sent_ms: int
+    entries: tuple[Entry, ...] = ()
+
+
+def firm_number(key: int) -> int:
+    """The firm's number in messages, from the module's key (customer << 16 | plan); -1 if it has none."""
+    customer, plan = key >> 16, key & 0xFFFF
+    return customer << 7 | plan if customer < 1 << 33 and plan < 1 << 7 else -1
+
+
+def key_of(firm: int) -> int:
+    return firm >> 7 << 16 | firm & 0x7F
+
+
+def seal_with(key: bytes) -> Seal:
+    """A keyed hash.  The key is stretched to the 32 bytes that BLAKE3's keyed mode takes.
+
+    :raises ImportError: where the blake3 package is not installed
+    """
+    from blake3 import blake3
+
+    wide = blake3(key, derive_key_context="vetchusher 2026-12 messages between ingresses").digest()
+    return lambda data: blake3(data, key=wide).digest(SEAL_BYTES)
+
+
+def write_entry(entry: Entry) -> bytes:
+    amount = min(MOST_AMOUNT, max(0, math.ceil(entry.amount * PARTS)))
+    out = bytearray(
+        _FIRM.pack(entry.firm & 0xFFFFFFFF, entry.firm >> 32, entry.window % WINDOWS | _ECHO * entry.echo)
+    )
+    while amount > 0x7F:
+        out.append(amount & 0x7F | 0x80)
+        amount >>= 7
+    out.append(amount)
+    return bytes(out)
+
+
+def room(sealed: bool) -> int:
+    """Bytes that the entries of one message may take."""
+    return MOST_BYTES - _HEAD.size - SEAL_BYTES * sealed
+
+
+def write(message: Message, entries: Iterable[bytes], seal: Seal | None) -> bytes:
+    """The datagram of this message with these entries, each from `write_entry`.
+
+    :raises ValueError: if it would be too long
+    """
+    flags = message.state | message.flags << 4
+    data = _HEAD.pack(VERSION, flags, message.sender, message.life, message.sent_ms) + b"".join(entries)
+    if seal is not None:
+        data += seal(data)
+    if len(data) > MOST_BYTES:
+        raise ValueError(f"a message of {len(data)} bytes")
+    return data
+
+
+def read(data: bytes, seal: Seal | None) -> Message:
+    """:raises Unreadable: for whatever `write` with this seal has not made"""
+    if len(data) > MOST_BYTES:
+        raise Unreadable(f"{len(data)} bytes are too many")
+    end = len(data) - (SEAL_BYTES if seal is not None else 0)
+    if end < _HEAD.size:
+        raise Unreadable(f"{len(data)} bytes are too few")
+    if seal is not None and not hmac.compare_digest(seal(data[:end]), data[end:]):
+        raise Unreadable("the seal is wrong")
+    version, mixed, sender, life, sent_ms = _HEAD.unpack_from(data)
+    if version != VERSION:
+        raise Unreadable(f"version {version} is not known here")
+    if mixed & 15 > max(State) or mixed >> 4 > ASKS | NEWBORN:
+        raise Unreadable(f"no such state or flags: {mixed:#x}")
+    return Message(sender, life, State(mixed & 15), mixed >> 4, sent_ms, tuple(_entries(data, end)))
+
+
+def _entries(data: bytes, end: int) -> Iterable[Entry]:
+    at = _HEAD.size
+    while at < end:
+        if at + _FIRM.size >= end:
+            raise Unreadable(f"an entry at {at} is cut short")
+        low, high, window = _FIRM.unpack_from(data, at)
+        if window & 0x80:
+            raise Unreadable(f"an entry at {at} has an unknown mark")
+        at += _FIRM.size
+        amount = shift = 0
+        while True:
+            if at >= end or shift > 21:
+                raise Unreadable(f"an amount at {at} does not end")
+            byte = data[at]
+            amount |= (byte & 0x7F) << shift
+            at, shift = at + 1, shift + 7
+            if byte < 0x80:
+                break
+        yield Entry(low | high << 32, window % WINDOWS, amount / PARTS, bool(window & _ECHO))
--- /dev/null
+++ b/vetchusher/limits/guard.py
@@ -0,0 +1,340 @@
+"""The face of `limits`: one ingress's view of the counter's state and of what its peers passed.
+
+It owns the peers' sums (`Spends`), the line of firms with news to tell, and when each peer was last heard.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from vetchusher import interface as api
+from vetchusher.state import Customer, Window
+
+from . import codec
+from .health import CounterHealth, State
+from .promise import SPEAK_US, promise
+from .spends import Spends
+
+NEWBORN_US = 1_500_000  # us after a start in which the peers are asked for all they know
+ANSWER_US = 1_000_000  # us for which a peer that asks is told the news
+HEARD_US = 400_000  # us after which a peer's last word is too old to be its whole use
+TELLS = 2  # times each news is told: one datagram in fourteen is lost
+INBOX_PART = 0.6  # of what a peer takes in that all the others together may send it
+DISAGREE_UNITS = 1.5  # the peers' own sums beyond a fresh total, that chance and clocks do not make
+MOST_NEWS = 4_096  # firms with news; beyond that the oldest news waits for its firm's next command
+HOT_PART = 0.7  # of the burst, used in two windows: above this a firm's news is told while in doubt only
+WARM_PART = 0.05  # of the burst: below this a newborn peer is not told of a firm
+
+Tell = Callable[[api.Action], None]
+
+
+@dataclass(slots=True)
+class Peer:
+    """What is kept of one other ingress; there are as many as the settings count."""
+
+    heard_at: int = -1
+    life: int = 0
+    state: State = State.TRUSTED
+    asks_until: int = 0
+    newborn_until: int = 0
+    spoken_at: int = 0
+    news: dict[int, int] = field(default_factory=dict)  # by customer key: times it is still to be told
+    walk: list[int] = field(default_factory=list)  # customers still to be told to it, as it is newborn
+    walked: int = 0  # the life for which that list was made
+
+
+class Limits:
+    """Keeps quotas where the counter's totals do not.
+
+    :param customers: the module's own records, by key: read, and their windows' `told` written here
+    :param seal: from `codec.seal_with`; None where messages are not authenticated
+    """
+
+    def __init__(
+        self, settings: api.Settings, customers: dict[int, Customer], seal: codec.Seal | None = None
+    ) -> None:
+        self.settings = settings
+        self.customers = customers
+        self.seal = seal
+        self.health = CounterHealth()
+        self.spends = Spends()
+        self.peers: dict[int, Peer] = {}
+        self.on = settings.peers and settings.counter and settings.gateways > 1
+        self.born = -1
+        self.life = 0
+        self.told_state = State.TRUSTED
+        self.foreign = 0  # datagrams that could not be used
+
+    def begin(self, now: int) -> None:
+        self.born, self.life = now, now // 1_000 & 0xFFFFFFFF
+
+    # -- what the module asks ---------------------------------------------------------
+
+    def whole(self, now: int, who: Customer) -> bool:
+        """Whether all ingresses of a customer's set have told their use lately."""
+        if not self.on:
+            return False
+        for number in self.set_of(who):
+            peer = self.peers.get(number)
+            if peer is None or peer.heard_at < 0 or now - peer.heard_at > HEARD_US:
+                return False
+        return True
+
+    def others(self, now: int, who: Customer, stale: bool) -> float:
+        """Units that the others are taken to pass for each own one since the last view that held everybody's.
+
+        :param stale: own units have gone without a total for long
+        """
+        split = self.health.state is State.SPLIT
+        if not (stale or split):
+            return 0.0
+        if self.whole(now, who):
+            who.alone = 0.0
+            return 0.0
+        if split:
+            return who.doors - 1.0  # totals that hold own units only teach a share of all
+        even = 1.0 / who.doors
+        if self.health.state is State.LOST:
+            return 2.0 / (who.share + even) - 1.0  # half learned, half even: all parts add up to one
+        return 1.0 / max(who.share, even) - 1.0
+
+    def lend(self, now: int, who: Customer, stale: bool) -> float:
+        """Units now taken off a customer's store for what the others are assumed to pass; below nothing: they
+        are given back, as a view that holds everybody's shows what passed."""
+        if others := self.others(now, who, stale):
+            taken, who.alone = who.alone * others, 0.0
+            if not who.lent:
+                who.lent_at = now
+            who.lent += taken
+        elif who.lent:
+            # Danger: only two windows are shown; what passed before them, unseen, would be forgotten.
+            shown = now - (who.prev.index * who.length)
+            part = min(1.0, shown / max(1, now - who.lent_at))
+            taken, who.lent = -who.lent * part, 0.0
+        else:
+            return 0.0
+        who.unused -= taken
+        return taken
+
+    def unknown_allowance(self, now: int, who: Customer, units: float) -> float:
+        """What may pass here for a customer whose total is not known.
+
+        Danger: an ingress that starts, or meets a customer, while the counter is away would open a second
+        allowance: a share of the burst that may be spent elsewhere.  It gets its part of the rate since.
+        """
+        even = max(who.plan.burst / who.doors, 2.0 * units)
+        if self.health.state not in (State.LOST, State.FRESH, State.SPLIT):
+            return even
+        since = max(self.born, self.health.since)
+        return min(even, units + (now - since) * who.plan.rate / who.doors / 1e6)
+
+    # -- what the module tells --------------------------------------------------------
+
+    def passed(self, who: Customer) -> None:
+        """A command of this customer was sent on."""
+        if not self.on or who.thin or not who.length:
+            return
+        for number in self.set_of(who):
+            news = self.peer(number).news
+            if len(news) < MOST_NEWS or who.key in news:
+                news[who.key] = TELLS
+
+    def fill(self, who: Customer) -> None:
+        """Give a customer's windows what the peers told of them before."""
+        if self.spends.records:
+            for window in (who.cur, who.prev):
+                self.fill_window(who, window)
+
+    def fill_window(self, who: Customer, window: Window) -> None:
+        if self.spends.records:
+            window.told = self.spends.total((codec.firm_number(who.key), window.index))
+
+    def total_came(self, now: int, who: Customer, window: Window, own: float, others: float) -> None:
+        """A total of this window came and is in its `total`; see `CounterHealth.answered`."""
+        begun = window.at if window.at >= 0 else window.index * who.length if window is who.cur else -1
+        window.at = now
+        self.health.answered(now, own, others, begun)
+        beyond = window.told + window.mine - window.total - window.diff
+        if window.told and beyond > DISAGREE_UNITS + 2.0 * self.settings.most_units:
+            if self.health.state in (State.TRUSTED, State.DOUBTED, State.RETURNED):
+                self.health.split(now)
+        if self.health.state is not State.SPLIT:
+            who.alone = who.cur.diff + who.prev.diff
+
+    def heard(self, now: int, sender: int, data: bytes) -> None:
+        """Take in a datagram; what cannot be used changes nothing but a count."""
+        try:
+            message = codec.read(data, self.seal)
+        except codec.Unreadable:
+            self.foreign += 1
+            return
+        wrong = message.sender != sender or sender == self.settings.index or sender >= self.settings.gateways
+        if not self.on or wrong or abs(now // 1_000 - message.sent_ms) > codec.FRESH_MS:
+            self.foreign += 1
+            return
+        peer = self.peer(sender)
+        peer.heard_at, peer.life, peer.state = now, message.life, message.state
+        if message.flags & codec.ASKS:
+            peer.asks_until = now + ANSWER_US
+        if message.flags & codec.NEWBORN:
+            peer.newborn_until = now + ANSWER_US
+        for entry in message.entries:
+            self.take_in(now, message, entry)
+
+    def take_in(self, now: int, message: codec.Message, entry: codec.Entry) -> None:
+        key = codec.key_of(entry.firm)
+        plan_id = key & 0xFFFF
+        if plan_id >= len(self.settings.plans) or (plan := self.settings.plans[plan_id]).rate <= 0:
+            return
+        length = max(1, int(plan.burst / plan.rate * 1e6))
+        index = now // length
+        # The number nearest to the present one: clocks differ, and a message may cross a window's end.
+        step = (entry.window - index + codec.WINDOWS // 2) % codec.WINDOWS - codec.WINDOWS // 2
+        if not -1 <= step <= 1:
+            return
+        index += step
+        writer = (self.settings.index, 0) if entry.echo else (message.sender, message.life)
+        total = self.spends.note((entry.firm, index), writer, entry.amount, (index + 2) * length)
+        who = self.customers.get(key)
+        if who is not None:
+            for window in (who.cur, who.prev):
+                if window.index == index:
+                    window.told = total
+
+    # -- speaking ---------------------------------------------------------------------
+
+    def tick(self, now: int, tell: Tell) -> None:
+        """Say what is due, and log a change of state."""
+        if self.health.state is not self.told_state:
+            self.told_state = self.health.state
+            tell(api.Log(self.describe()))
+        if not self.on:
+            return
+        self.spends.sweep(now)
+        newborn = now - self.born < NEWBORN_US
+        uneasy = newborn or self.health.uneasy(now)
+        if newborn:
+            for number in range(self.settings.gateways):
+                if number != self.settings.index and self.near(number):
+                    self.peer(number)
+        for number, peer in self.peers.items():
+            if not uneasy and now >= peer.asks_until and now >= peer.newborn_until:
+                continue
+            if now - peer.spoken_at >= self.pause():
+                peer.spoken_at = now
+                self.speak(now, number, peer, uneasy, newborn, tell)
+
+    def pause(self) -> int:
+        """Between two messages to one peer: all who speak to it must stay within what it takes in."""
+        inbox = self.settings.peer_in_per_s
+        return max(SPEAK_US, int(len(self.peers) * 1e6 / (INBOX_PART * inbox)) if inbox > 0 else 0)
+
+    def speak(self, now: int, number: int, peer: Peer, uneasy: bool, newborn: bool, tell: Tell) -> None:
+        flags = codec.ASKS * uneasy | codec.NEWBORN * newborn
+        head = codec.Message(self.settings.index, self.life, self.health.state, flags, now // 1_000)
+        left = codec.room(self.seal is not None)
+        entries: list[bytes] = []
+        # While totals are only suspected, what cannot change a decision soon is not worth its bytes.
+        calm = not newborn and State.TRUSTED is self.health.state is peer.state and now >= peer.newborn_until
+        for part in self.news_for(now, number, peer, calm):
+            if len(part) > left:
+                break
+            left -= len(part)
+            entries.append(part)
+        tell(api.Say(codec.write(head, entries, self.seal), number))
+
+    def news_for(self, now: int, number: int, peer: Peer, calm: bool) -> list[bytes]:
+        """Entries for one peer, those that can change a decision first; what it hands out is told."""
+        self.roll_walk(now, peer)
+        most = codec.room(self.seal is not None) // 7
+        due = sorted(peer.news, key=self.urgency, reverse=True)[:most]
+        if calm:
+            due = [key for key in due if self.urgency(key) >= HOT_PART]
+        parts: list[bytes] = []
+        left = codec.room(self.seal is not None)
+        for key in due:
+            who = self.customers.get(key)
+            told = self.entries_of(now, who, number, peer) if who is not None else []
+            if sum(map(len, told)) > left:
+                break
+            left -= sum(map(len, told))
+            parts += told
+            peer.news[key] -= 1
+            if who is None or peer.news[key] <= 0:
+                del peer.news[key]
+        while peer.walk and left > 0:
+            who = self.customers.get(peer.walk[-1])
+            told = self.entries_of(now, who, number, peer) if who is not None else []
+            if sum(map(len, told)) > left:
+                break
+            left -= sum(map(len, told))
+            parts += told
+            peer.walk.pop()
+        return parts
+
+    def roll_walk(self, now: int, peer: Peer) -> None:
+        """Danger: a newborn that the counter tells nothing would take every firm's store to be full."""
+        if now < peer.newborn_until and peer.walked != peer.life:
+            peer.walked = peer.life
+            peer.walk = [k for k, w in self.customers.items() if self.urgency(k) >= WARM_PART and not w.thin]
+            peer.walk.sort(key=self.urgency)
+
+    def urgency(self, key: int) -> float:
+        who = self.customers.get(key)
+        if who is None or who.plan.burst <= 0.0:
+            return 0.0
+        used: float = who.cur.count() + who.prev.count()
+        return used / who.plan.burst
+
+    def entries_of(self, now: int, who: Customer, number: int, peer: Peer) -> list[bytes]:
+        firm = codec.firm_number(who.key)
+        if firm < 0 or who.thin or not who.length:
+            return []
+        parts = []
+        for window in (who.cur, who.prev):
+            if now >= (window.index + 2) * who.length:
+                continue
+            if window.mine > 0.0:
+                parts.append(codec.Entry(firm, window.index % codec.WINDOWS, window.mine))
+            if now < peer.newborn_until:
+                former = self.spends.former((firm, window.index), number, peer.life)
+                if former > 0.0:
+                    parts.append(codec.Entry(firm, window.index % codec.WINDOWS, former, True))
+        return [codec.write_entry(p) for p in parts]
+
+    # -- small things -----------------------------------------------------------------
+
+    def peer(self, number: int) -> Peer:
+        found = self.peers.get(number)
+        if found is None:
+            found = self.peers[number] = Peer()
+        return found
+
+    def near(self, number: int) -> bool:
+        """Whether a newborn asks this one: nobody's set is known yet, and hundreds would be too many."""
+        away = (number - self.settings.index) % self.settings.gateways
+        return min(away, self.settings.gateways - away) <= 4
+
+    def set_of(self, who: Customer) -> list[int]:
+        if not who.set:
+            rules = self.settings
+            members = range(int(who.first), int(who.first) + min(rules.gateways, int(-(-who.doors // 1))))
+            who.set = [m % rules.gateways for m in members if m % rules.gateways != rules.index]
+        return who.set
+
+    def describe(self) -> str:
+        """One line: the counter's state and the promise, for the plan whose promise is widest."""
+        rules, state = self.settings, self.health.state
+        bounds = [
+            (promise(p, float(rules.gateways), rules.most_units, state, self.on), p)
+            for p in rules.plans
+            if p.rate > 0 and p.over_cost > p.over_worth
+        ]
+        if not bounds:
+            return f"counter {state.name.lower()}"
+        bound, plan = max(bounds, key=lambda b: b[0].part)
+        return (
+            f"counter {state.name.lower()}: a customer of plan {plan.name or '?'} is overspent by at most "
+            f"{bound.units:.1f} units, {bound.part:.3f} of its minute"
+        )
--- a/vetchusher/net/config.py
+++ b/vetchusher/net/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pathlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import orjson
@@ -39,6 +39,9 @@
     known: dict[str, Any]
     settings: api.Settings
     bounds: Bounds
+    peer_listen: tuple[str, int] | None = None
+    peers: tuple[tuple[str, int], ...] = ()
+    peers_all: tuple[str, int] | None = None
 
 
 def read_address(text: object) -> tuple[str, int]:
@@ -71,6 +74,11 @@
             read_address(counter)
         settings = wire.read_settings(orjson.dumps(tree["settings"]))
         limits = tree.get("limits", {})
+        peer_listen = read_address(tree["peer_listen"]) if tree.get("peer_listen") else None
+        peers = tuple(read_address(p) for p in tree.get("peers") or ())
+        peers_all = read_address(tree["peers_all"]) if tree.get("peers_all") else None
+        if peer_listen is None or len(peers) < settings.gateways:
+            settings = replace(settings, peers=False)  # nowhere to hear them, or to know them by
         return Config(
             name=str(tree.get("name", "")),
             listen=listen,
@@ -80,6 +88,9 @@
             known=dict(tree.get("known") or {}),
             settings=settings,
             bounds=bounds_for(int(limits.get("sockets") or 1024), settings.open_cap),
+            peer_listen=peer_listen if settings.peers else None,
+            peers=peers,
+            peers_all=peers_all,
         )
     except wire.WireError as err:
         raise ConfigError(str(err)) from None
--- a/vetchusher/net/effects.py
+++ b/vetchusher/net/effects.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from vetchusher import interface as api
 
@@ -57,6 +57,14 @@
     total: float
 
 
+@dataclass(slots=True)
+class PeerSpoke:
+    """A datagram of another ingress of the tier, by its number."""
+
+    peer: int
+    data: bytes
+
+
 @dataclass(slots=True)
 class NamesRead:
     """The whole name table has come, or has been waited for long enough."""
@@ -74,6 +82,7 @@
     | TimerDue
     | NamesChanged
     | NamesRead
+    | PeerSpoke
     | CounterReplied
     | StopAsked
 )
@@ -124,9 +133,18 @@
     expires_at: int
 
 
+@dataclass(slots=True)
+class TellPeer:
+    """Send a datagram to one ingress of the tier, or to all of them."""
+
+    data: bytes
+    peer: int | None
+
+
 @dataclass(slots=True)
 class WriteLog:
     text: str
+    facts: dict[str, object] = field(default_factory=dict)
 
 
-Effect = StartAttempt | AbandonAttempt | Serve | Nack | Failure | WakeAt | CallCounter | WriteLog
+Effect = StartAttempt | AbandonAttempt | Serve | Nack | Failure | WakeAt | CallCounter | TellPeer | WriteLog
--- a/vetchusher/net/ingress.py
+++ b/vetchusher/net/ingress.py
@@ -13,6 +13,7 @@
 from .counter import CounterCalls
 from .instances import Instances
 from .name_table import NameTable
+from .peers import Peers
 from .protocol import CommandReader
 from .reducer import Reducer
 from .runtime import Runtime
@@ -39,7 +40,10 @@
             self.runtime, settings, bounds.attempts, self.clients.payload, self.names.address_of
         )
         self.counter = CounterCalls(self.runtime, config.counter, bounds.counter)
-        self.runtime.attach(self.clients, self.instances, self.counter)
+        self.peers = Peers(
+            self.runtime, config.peer_listen, config.peers, config.peers_all, settings.peer_in_per_s
+        )
+        self.runtime.attach(self.clients, self.instances, self.counter, self.peers)
         self.stop = asyncio.Event()
 
     def names_changed(self) -> None:
@@ -60,6 +64,7 @@
         log.info("reloaded: discovery %s, counter %s", new.discovery, new.counter)
 
     async def start(self) -> None:
+        await self.peers.open()
         self.clients.door.open(*self.config.listen)
         self.names.start(self.config.known)
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -86,4 +91,5 @@
         await self.names.close()
         await self.instances.close()
         await self.counter.close()
+        self.peers.close()
         log.info("%s ends", self.config.name)
--- /dev/null
+++ b/vetchusher/net/peers.py
@@ -0,0 +1,83 @@
+"""Datagrams between the ingresses of the tier: one socket, opened and closed here."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import cast
+
+from . import effects as fx
+from .runtime import Runtime
+
+log = logging.getLogger("vetchusher")
+
+MOST_BYTES = 256
+MOST_IN_PART = 2.0  # times what the settings say an ingress takes in: more is not even looked at
+
+
+class Peers(asyncio.DatagramProtocol):
+    """The other ingresses, by their numbers; a datagram from any other address is dropped.
+
+    It keeps one map, from addresses to numbers, as long as the configuration's list, and no record of who
+    spoke: that is the module's.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        listen: tuple[str, int] | None,
+        peers: tuple[tuple[str, int], ...],
+        everybody: tuple[str, int] | None,
+        in_per_s: float,
+    ) -> None:
+        self.runtime = runtime
+        self.listen = listen
+        self.peers = peers
+        self.everybody = everybody
+        self.numbers = {address: number for number, address in enumerate(peers)}
+        self.most_in = int(in_per_s * MOST_IN_PART) if in_per_s > 0 else 1_000
+        self.second, self.taken = 0, 0
+        self.transport: asyncio.DatagramTransport | None = None
+        self.dropped = 0
+
+    async def open(self) -> None:
+        """:raises OSError: if the address cannot be had"""
+        if self.listen is not None:
+            await self.runtime.loop.create_datagram_endpoint(lambda: self, local_addr=self.listen)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are of classes of their own.
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        number = self.numbers.get((addr[0], addr[1]))
+        if number is None or len(data) > MOST_BYTES or not self.room():
+            self.dropped += 1
+            return
+        self.runtime.feed(fx.PeerSpoke(number, data))
+
+    def room(self) -> bool:
+        """Danger: whoever can write to this address could keep the ingress busy with reading it."""
+        second = self.runtime.clock.now() // 1_000_000
+        if second != self.second:
+            self.second, self.taken = second, 0
+        self.taken += 1
+        return self.taken <= self.most_in
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer that is down: the kernel tells of earlier datagrams that nobody took in."""
+
+    def tell(self, effect: fx.TellPeer) -> None:
+        if self.transport is None or self.transport.is_closing() or len(effect.data) > MOST_BYTES:
+            return
+        if effect.peer is not None:
+            targets = self.peers[effect.peer : effect.peer + 1]
+        else:
+            targets = (self.everybody,) if self.everybody is not None else self.peers
+        for address in targets:
+            if address is not None and address != self.listen:
+                self.transport.sendto(effect.data, address)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
--- a/vetchusher/net/reducer.py
+++ b/vetchusher/net/reducer.py
@@ -58,6 +58,8 @@
                 done.append(fx.WakeAt(now + RETRY_TIMER_US, token))
         elif isinstance(event, fx.CounterReplied):
             self.decide(now, api.CounterAnswered(event.name, event.outcome, event.latency, event.total), done)
+        elif isinstance(event, fx.PeerSpoke):
+            self.decide(now, api.PeerMessage(event.peer, event.data), done)
         elif isinstance(event, fx.ClientLeft):
             self.client_left(now, event.command, done)
         elif isinstance(event, fx.NamesChanged):
@@ -170,8 +172,10 @@
                 command = self.commands.get(action.request)
                 if command is not None and action.attempt in command.out:
                     done.append(fx.AbandonAttempt(action.request, action.attempt))
+            elif isinstance(action, api.Say):
+                done.append(fx.TellPeer(action.data, action.peer))
             elif isinstance(action, api.Log):
-                done.append(fx.WriteLog(action.text))
+                done.append(fx.WriteLog(action.text, action.facts))
             # SubscribeFleet and FetchFleet ask for nothing here: the watch on the name table always runs.
 
     def start(self, now: int, action: api.Send, done: list[fx.Effect]) -> None:
--- a/vetchusher/net/runtime.py
+++ b/vetchusher/net/runtime.py
@@ -53,6 +53,10 @@
     def call(self, effect: fx.CallCounter) -> None: ...
 
 
+class Peers(Protocol):
+    def tell(self, effect: fx.TellPeer) -> None: ...
+
+
 class Runtime:
     def __init__(self, loop: asyncio.AbstractEventLoop, reducer: Reducer) -> None:
         self.loop = loop
@@ -65,11 +69,12 @@
             fx.WriteLog: self.write_log,
         }
 
-    def attach(self, clients: Clients, attempts: Attempts, counter: Counter) -> None:
+    def attach(self, clients: Clients, attempts: Attempts, counter: Counter, peers: Peers) -> None:
         self.carriers |= {
             fx.StartAttempt: attempts.start,
             fx.AbandonAttempt: lambda e: attempts.abandon(e.command, e.attempt),
             fx.CallCounter: counter.call,
+            fx.TellPeer: peers.tell,
             fx.Serve: lambda e: clients.serve(e.command, e.answer),
             fx.Nack: lambda e: clients.nack(e.command, e.retry_after),
             fx.Failure: lambda e: clients.fail(e.command),
@@ -98,4 +103,4 @@
         self.loop.call_at(self.clock.on_loop(effect.at), self.feed, fx.TimerDue(effect.token))
 
     def write_log(self, effect: fx.WriteLog) -> None:
-        log.info("%s", effect.text)
+        log.info("%s", effect.text, extra={"facts": effect.facts} if effect.facts else None)
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -14,6 +14,7 @@
 
 from . import interface as api
 from .interface import Effect, FleetKind, Outcome, RequestClass, Scope, WorkerState
+from .limits import Limits
 from .state import Attempt, Customer, Kind, Window, Worker, mix64
 
 # Tuned values: quota
@@ -28,6 +29,7 @@
 PASS_COST, COUNTED_LEAST = 0.2, 0.3  # stake where excess costs nothing; least share that totals hold
 BEYOND_GAIN, PASS_LEAST = 0.12, 0.1  # weight of the newest sample in a plan's share beyond; passed at least
 SHARE_GAIN, SHARE_LEAST = 0.3, 4.0  # newest sample of the share seen here; units below which it is chance
+LAST_READ_US = 110_000  # us after a window's end when all have pushed what they passed in it
 LOST_TOLERANCE = 1e-5  # relative: totals come back with seven digits
 KEEN_PART = 0.5  # of the limit: a customer here below this waits for calls behind those above
 NAME_SPARE_US, NAME_MOST_US = 2_000_000, 60_000_000  # us a name outlives its use; none is kept longer
@@ -89,6 +91,7 @@
         self.waiting: deque[Customer] = deque()  # due, but the calls out are at their bound
         self.behind: deque[Customer] = deque()  # the same, of those whose totals can hardly matter yet
         self.held: dict[int, list[Job]] = {}  # by the name of the call they wait for
+        self.limits = Limits(settings, self.customers)
         self.first_pace = CALLS_FIRST / settings.gateways / settings.counter_timeout * 1e6
         self.pace = self.first_pace
         self.tokens, self.paid_at = 1.0, 0
@@ -98,10 +101,10 @@
         self.counted = [1.0] * len(settings.plans)  # of the requests passed: share that totals hold, by plan
         self.stake = 0.0  # mean worth at stake in a request
 
-    def customer(self, now: int, caller: int, plan_id: int, doors: float, acts: Actions) -> Customer:
-        key = caller << 16 | plan_id
+    def customer(self, now: int, event: api.RequestArrived, acts: Actions) -> Customer:
+        doors, key = event.doors, event.customer << 16 | event.plan_id
         if (who := self.customers.get(key)) is None:
-            plan = self.settings.plans[plan_id]
+            plan = self.settings.plans[event.plan_id]
             length = max(1, int(plan.burst / plan.rate * 1e6)) if plan.rate > 0 else 0
             index = now // length if length else 0
             doors = max(1.0, doors)
@@ -111,6 +114,8 @@
             thin = self.settings.counter and length > 0 and plan.burst < THIN_UNITS * (doors - THIN_DOORS)
             who = Customer(key, plan, doors, length, cur, prev, now, level, now, thin, 1.0 / doors)
             self.customers[key] = who
+            who.first = event.first_door
+            self.limits.fill(who)
             if length and self.settings.counter and not thin:
                 who.cur.known, who.prev.known = False, False
                 self.line_up(who)  # the immediate read
@@ -127,9 +132,12 @@
         if step == 1:
             who.noted -= who.prev.count()
             who.prev, who.cur = who.cur, Window(who.cur.index + 1)
+            who.last_due = self.near(who) or who.prev.at < now - 3 * who.length // 2
+            self.limits.fill_window(who, who.cur)
         elif step > 1:
             who.prev, who.cur = Window(who.cur.index + step - 1), Window(who.cur.index + step)
-            who.unsure_since, who.noted = -1, 0.0
+            who.unsure_since, who.noted, who.last_due = -1, 0.0, True
+            self.limits.fill(who)
         if step:
             who.heard_at = -1
 
@@ -148,21 +156,33 @@
         limit = who.plan.burst
         unused = self.unused(now, who)
         used = who.cur.count() + who.prev.count() * weight + units
+        if not who.counted and self.limits.whole(now, who):
+            self.first_total(now, who)
         if who.thin and not self.blind(now, who):
             # Others pass as much without a call as this gateway does: totals lack it, not its own units.
             others = max(0.0, who.cur.count() - own) / self.counted[who.key & 0xFFFF]
             return (others + own + min(limit, who.prev.count()) * weight + units) / limit
         if who.thin or not who.counted:
-            return (who.cur.mine + who.prev.mine * weight + units) / max(limit / who.doors, 2.0 * units)
-        if who.unsure_since >= 0 and now - who.unsure_since > STALE_US:
-            # Exception.  Danger: on old totals each gateway passes the rest: take others to pass as before.
-            others = 1.0 / max(who.share, 1.0 / who.doors) - 1.0
-            used += (who.cur.unseen() + who.prev.unseen() * weight) * others
-        elif used > limit and unused - units >= UNUSED_LEFT * limit:
+            allowed = self.limits.unknown_allowance(now, who, units)
+            return (who.cur.mine + who.prev.mine * weight + units) / max(1e-9, allowed)
+        stale = who.unsure_since >= 0 and now - who.unsure_since > STALE_US
+        # Exception.  Danger: on old totals each gateway passes the rest: take others to pass as before.
+        unused -= self.limits.lend(now, who, stale)
+        used += who.lent
+        if unused < units and who.plan.over_cost > who.plan.over_worth:
+            # Exception.  Danger: what stale totals let through beyond the quota is forgotten two windows on.
+            return max(2.0, used / limit)
+        if used > limit and unused - units >= UNUSED_LEFT * limit:
             # Exception.  Danger: windows forget quota left unused before them; fresh totals show it.
             return 1.0
         return used / limit
 
+    def first_total(self, now: int, who: Customer) -> None:
+        """Begin the store at this window's turn: below half of the quota it was full but for chance."""
+        known = who.prev.count()
+        who.unused = min(who.plan.burst, 2.0 * max(0.0, who.plan.burst - known))
+        who.unused_at, who.noted, who.counted = now - now % who.length, known, True
+
     def blind(self, now: int, who: Customer) -> bool:
         return who.heard_at < 0 or now - who.heard_at > STALE_US
 
@@ -239,7 +259,9 @@
             who.ceiling -= units
         if who.length and not counted:
             who.cur.mine += units
+            who.alone += units
             self.owe(now, who, units)
+            self.limits.passed(who)
 
     def owe(self, now: int, who: Customer, units: float) -> None:
         """Put units in the current diff and have it pushed."""
@@ -264,6 +286,7 @@
             self.line_up(who)
         self.pump(now, acts)
         self.sweep(now)
+        self.limits.tick(now, acts.append)
 
     def keen(self, who: Customer) -> bool:
         """Danger: where customers that come once take the calls there are, the totals of those near their
@@ -286,8 +309,17 @@
             if who.queued == (WAITING if line is self.waiting else BEHIND):
                 who.queued = 0
                 self.roll(now, who)
+                if who.last_due and now % who.length > LAST_READ_US:
+                    # Danger: what the others passed at a window's end and pushed after this gateway's last
+                    # call for it stays unseen; forgotten at every turn, it adds up to a fifth of the quota.
+                    who.last_due, who.prev.known = False, False
                 self.push(who, acts)
 
+    def near(self, who: Customer) -> bool:
+        """Whether news of this customer can change a decision."""
+        limit = KEEN_PART * who.plan.burst
+        return not who.thin and who.prev.count() >= limit or who.unused < limit
+
     def push(self, who: Customer, acts: Actions) -> None:
         for window in (who.prev, who.cur):
             if not window.diff and not window.restore and window.known:
@@ -320,18 +352,18 @@
                 # only what this gateway had put in: the others restore theirs, nothing counts twice.
                 window.floor = max(window.floor, window.total) + sent
                 window.restore = window.acked
+                self.limits.health.lost_counts(now, (window.index + 2) * who.length)
                 self.log.add(now, acts, "lost", "counter lost counts: keeping floors, restoring own")
                 self.queue(who)
             elif window.floor:
                 window.floor += sent
+            elsewhere = event.total - must
             window.acked += sent
             window.seen = event.total
-            window.doubt = 0.0
             window.total = max(event.total, window.floor)
+            self.limits.total_came(now, who, window, sent, elsewhere)
             if not who.counted and window is who.prev:
-                who.unused = max(0.0, who.plan.burst - window.total)
-                who.unused_at, who.noted = now, window.total
-                who.counted = True
+                self.first_total(now, who)
             window.known = True
             if window is who.cur:
                 who.heard_at = now
@@ -340,13 +372,13 @@
             if (total := who.cur.count() + who.prev.count()) >= SHARE_LEAST:
                 who.share += SHARE_GAIN * (min(1.0, (who.cur.mine + who.prev.mine) / total) - who.share)
         else:
+            self.limits.health.failed(now)
             if event.outcome != Outcome.ERROR:  # an unreadable answer tells nothing of the pace
                 self.pace = max(CALLS_LEAST, self.pace * CALLS_CUT)
             if self.pace <= CALLS_LEAST:
                 self.log.add(now, acts, "counter", "counter failing: customers held to their share here")
             if event.outcome in (Outcome.TIMEOUT, Outcome.ERROR):
                 window.total += sent  # it may stand there: never sent twice
-                window.doubt += sent
             else:
                 window.diff += sent  # it does not stand there
                 window.restore += window.restoring
@@ -657,6 +689,7 @@
         acts: Actions = []
         if self.quota.born < 0:
             self.quota.born = now
+            self.quota.limits.begin(now)
             if self.settings.counter:
                 acts.append(api.SetTimer(SYNC_US // SYNC_SLICES, TICK_TOKEN))
             if self.settings.subscribe:
@@ -670,6 +703,8 @@
                 self.decide(now, held, acts)
         elif isinstance(event, api.TimerFired):
             self.timer_fired(now, event.token, acts)
+        elif isinstance(event, api.PeerMessage):
+            self.quota.limits.heard(now, event.sender, event.data)
         elif isinstance(event, api.FleetChanged):
             self.fleet.changed(now, event)
             if event.kind == FleetKind.FAILED and self.settings.subscribe:
@@ -683,7 +718,7 @@
 
     def request_arrived(self, now: int, event: api.RequestArrived, acts: Actions) -> None:
         quota = self.quota
-        who = quota.customer(now, event.customer, event.plan_id, event.doors, acts)
+        who = quota.customer(now, event, acts)
         spec, copies = self.settings.classes[event.class_id], self.settings.may_duplicate
         job = Job(event.request, event.class_id, spec, who, event.units, now + event.time_left, copies)
         self.jobs[job.id] = job
--- a/vetchusher/state.py
+++ b/vetchusher/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from . import interface as api
 
@@ -18,18 +18,16 @@
     restoring: float = 0.0  # restored units in the call under way
     restore: float = 0.0  # own units the counter lost, to be added again
     mine: float = 0.0  # all that passed here
-    doubt: float = 0.0  # own units of timed-out pushes since the last good answer
+    at: int = -1  # us: the last good answer
+    told: float = 0.0  # what the other gateways say they passed
     acked: float = 0.0  # own units the counter has confirmed
     seen: float = 0.0  # the last value the counter showed: it may only grow
     floor: float = 0.0  # after a loss: the least that the total really is
     known: bool = True  # false: a read is due
 
     def count(self) -> float:
-        return self.total + self.sent + self.diff
-
-    def unseen(self) -> float:
-        """Own units that no pulled total holds for sure."""
-        return self.sent + self.diff + self.doubt
+        """What is known to have passed everywhere.  Both views may lack units, neither has one too many."""
+        return max(self.total + self.sent + self.diff, self.told + self.mine)
 
 
 @dataclass(slots=True)
@@ -56,6 +54,12 @@
     queued: int = 0  # the line it stands in, if any
     recent: bool = False  # it came here less than a window before
     out: int = 0
+    last_due: bool = False  # the ended window's last total is still to be read
+    alone: float = 0.0  # own units since the last view that held everybody's
+    lent: float = 0.0  # taken off `unused` for what the others are assumed to have passed since then
+    lent_at: int = 0  # us: when that began
+    first: float = 0.0  # number of the first gateway of its set
+    set: list[int] = field(default_factory=list)  # the others of its set, once somebody asked
 
 
 @dataclass(slots=True)
--- a/vetchusher/wire.py
+++ b/vetchusher/wire.py
@@ -34,6 +34,7 @@
 _TEXT = struct.Struct("<BIII11x")
 _ADD = struct.Struct("<BIQfI3x")
 _STREAM = struct.Struct("<BIB18x")
+_SAY = struct.Struct("<BIIII7x")
 _FETCH = struct.Struct("<BI19x")
 
 CREATE, HALT = 10, 100
@@ -138,6 +139,8 @@
         tick=int(tree.get("granularity") or 1_000),
         connect_limit=int(limits.get("connect_timeout") or 250_000),
         open_cap=int(limits.get("open_cap") or 20_000),
+        peers=bool(limits.get("peers", False)),
+        peer_in_per_s=float(extra.get("inbox_per_s") or 0.0),
         zones=tuple(str(z) for z in tree.get("failure_domains", ())),
         kinds=tuple(str(k) for k in tree.get("kinds", ())),
     )
@@ -254,6 +257,10 @@
             self._text(90, who, action.text)
         elif kind is api.SubscribeFleet:
             self.records.append(_STREAM.pack(110, who, 1 if action.on else 0))
+        elif kind is api.Say:
+            peer = MAX_U32 if action.peer is None else action.peer
+            self.records.append(_SAY.pack(80, who, peer, len(self.tail), len(action.data)))
+            self.tail += action.data
         elif kind is api.FetchFleet:
             self.records.append(_FETCH.pack(120, who))
         else:
