Add settings, JSON logs, a counter on sockets and a benchmark for quotas without the counter

Need: operators must see and set what holds while the counter fails, and anyone must be able to measure it.

The change: deploy/limits.json with a JSON Schema, read by serve and check-config (--limits); messages between ingresses sealed with a keyed BLAKE3 hash where a key is set; JSON log lines (structlog) with the promise of each counter state in figures. The emulator gains the counter on real sockets, the lossy path of datagrams and a rig that runs real ingresses; benchmarks/counter_loss.py makes the tables in benchmarks/results.

Random faults in virtual time showed units counted twice after a split healed: a counter that had lost some of an ingress's units was given all of them again. It is given no more than what its total lacks.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build dev test lint run
+.PHONY: build dev test lint run bench-counter-loss bench-counter-loss-sockets
 
 build:
 	sh deploy/build
@@ -13,8 +13,14 @@
 
 lint: dev
 	$(PYTHON) -m ruff check .
-	$(PYTHON) -m ruff format --check vetchusher/net vetchusher/limits vetchusher/emulator tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py
+	$(PYTHON) -m ruff format --check vetchusher/net vetchusher/limits vetchusher/emulator vetchusher/settings benchmarks tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py
 	$(PYTHON) -m mypy
 
 run: build
 	$(PYTHON) -m vetchusher serve
+
+bench-counter-loss: dev
+	$(PYTHON) -m benchmarks.counter_loss virtual --keep benchmarks/results/counter-loss-virtual-3.md
+
+bench-counter-loss-sockets: dev
+	$(PYTHON) -m benchmarks.counter_loss sockets --seeds 1 --keep benchmarks/results/counter-loss-sockets.md
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -6,7 +6,6 @@
 import json
 import os
 import re
-import socket
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -16,6 +15,7 @@
 import orjson
 import uvloop
 
+from vetchusher.emulator.messages import free_port, read_message
 from vetchusher.net import config
 from vetchusher.net.ingress import Ingress
 
@@ -86,12 +86,6 @@
     return {"generation": generation, "reset": reset, "instances": list(entries)}
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def answer(body=b"", status=200, **headers):
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
@@ -120,14 +114,6 @@
 Script = Callable[[Asked], Awaitable[bytes] | bytes]
 
 
-async def read_message(reader):
-    """Start line, headers and body of one HTTP message with a stated length."""
-    raw = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    first, *lines = raw.rstrip().split("\r\n")
-    headers = dict(line.split(": ", 1) for line in lines)
-    return first, headers, await reader.readexactly(int(headers.get("Content-Length", 0)))
-
-
 @dataclass
 class Peer:
     """A party that notes what it is asked and answers as its script says."""
@@ -247,13 +233,12 @@
 
 
 @asynccontextmanager
-async def ingress(discovery, counter, known=None, ready=True, path="", **changed):
+async def ingress(discovery, counter, known=None, ready=True, path="", told=None, tuning=None, **changed):
     """An ingress between these peers, past its first careful seconds."""
     port = free_port()
-    told = tree(
-        f"127.0.0.1:{port}", f"127.0.0.1:{discovery.port}", f"127.0.0.1:{counter.port}", known, **changed
-    )
-    node = Ingress(config.parse(orjson.dumps(told)), asyncio.get_running_loop(), str(path))
+    places = [f"127.0.0.1:{p}" for p in (port, discovery.port, counter.port)]
+    read = config.parse(orjson.dumps(tree(*places, known, **changed) | (told or {})))
+    node = Ingress(read, asyncio.get_running_loop(), str(path), tuning)
     node.runtime.reducer.policy.fleet.shed = 0.0
     await node.start()
     try:
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,225 @@
+"""The stand-ins themselves: the counter's faults, the datagrams' path, and runs that replay."""
+
+import asyncio
+import random
+
+import aiohttp
+import pytest
+from net_helpers import run, until
+
+from vetchusher.emulator.audit import Ledger
+from vetchusher.emulator.counter import Counter, Reply
+from vetchusher.emulator.demand import PLANS, SECOND, Firm
+from vetchusher.emulator.faults import Fault, FaultKind, Script
+from vetchusher.emulator.network import Cut, Datagrams
+from vetchusher.emulator.sockets import MOST_CONNECTIONS, CounterServer, DatagramPath, Timeline, read_call
+from vetchusher.emulator.virtual import Outage, Scene, World
+
+MS = 1_000
+LIFE = 10 * SECOND
+
+
+def counter(*faults, **changed):
+    return Counter(Script(faults), **{"per_second": 1e6, **changed})
+
+
+def lasting(kind, **changed):
+    return Fault(kind, 10 * MS, 20 * MS, **changed)
+
+
+@pytest.mark.parametrize(
+    ("fault", "reply", "after"),
+    [
+        (None, Reply.TOTAL, 2.0),
+        (lasting(FaultKind.SILENT), Reply.NOTHING, 1.0),
+        (lasting(FaultKind.MUTE), Reply.NOTHING, 2.0),
+        (lasting(FaultKind.REFUSING), Reply.TURNED_AWAY, 1.0),
+        (lasting(FaultKind.SPOILT), Reply.SPOILT, 2.0),
+        (lasting(FaultKind.SLOW, factor=9.0), Reply.TOTAL, 2.0),
+        (Fault(FaultKind.EMPTY, 5 * MS), Reply.TOTAL, 1.0),
+        (Fault(FaultKind.REPLACED, 5 * MS), Reply.TOTAL, 1.0),
+        (lasting(FaultKind.SPLIT, sides=(1, 0)), Reply.TOTAL, 1.0),
+        (lasting(FaultKind.SPLIT, sides=(0, 1)), Reply.TOTAL, 2.0),
+    ],
+)
+def test_what_a_fault_does_to_a_call_and_to_the_count(fault, reply, after):
+    model = counter(*([fault] if fault else []))
+    assert model.call(0, 0, "a", 1.0, LIFE).total == 1.0
+    assert model.call(15 * MS, 0, "a", 1.0, LIFE).reply is reply
+    assert model.call(30 * MS, 0, "a", 0.0, LIFE).total == after
+
+
+def test_sides_of_a_split_know_nothing_of_each_other_and_the_first_goes_on():
+    model = counter(lasting(FaultKind.SPLIT, sides=(0, 1), keeps=False))
+    model.call(0, 0, "a", 5.0, LIFE)
+    assert model.call(15 * MS, 0, "a", 1.0, LIFE).total == 6.0
+    assert model.call(15 * MS, 1, "a", 1.0, LIFE).total == 1.0
+    assert model.call(30 * MS, 1, "a", 0.0, LIFE).total == 6.0
+
+
+def test_calls_wait_their_turn_and_are_turned_away_when_the_line_is_long():
+    model = Counter(per_second=100.0, parts=1, queue_us=25 * MS)
+    answers = [model.call(0, 0, "a", 1.0, LIFE) for _ in range(5)]
+    assert [a.at for a in answers[:3]] == [10 * MS, 20 * MS, 30 * MS]
+    assert [a.reply for a in answers[3:]] == [Reply.TURNED_AWAY] * 2
+
+
+def test_a_name_starts_at_nought_and_is_forgotten_when_its_first_life_is_over():
+    model = counter()
+    model.call(0, 0, "a", 3.0, 20 * MS)
+    assert model.call(19 * MS, 0, "a", 0.0, LIFE).total == 3.0  # a later call does not extend it
+    assert model.call(20 * MS, 0, "a", 0.0, LIFE).total == 0.0
+    for n in range(100):
+        model.call(n * MS, 0, f"n{n}", 1.0, 1 * MS)
+    assert len(model.sides[0].counts) < 10
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"kind": FaultKind.SILENT, "begins": 5, "ends": 5},
+        {"kind": FaultKind.SPLIT, "begins": 5, "ends": 9},
+    ],
+)
+def test_faults_that_cannot_be_are_turned_down(wrong):
+    with pytest.raises(ValueError):
+        Fault(**wrong)
+
+
+def test_datagrams_are_lost_cut_off_and_taken_in_only_so_many_a_second():
+    path = Datagrams(random.Random(1), loss=0.5)
+    came = sum(path.arrival(n * SECOND, 0, 1, 10) is not None for n in range(400))
+    assert 150 < came < 250
+    cut = Datagrams(random.Random(1), loss=0.0, cuts=(Cut(0, SECOND, (0, 1, 1)),))
+    assert cut.arrival(10, 0, 1, 10) is None and cut.arrival(10, 1, 2, 10) is not None
+    assert cut.arrival(SECOND, 0, 1, 10) is not None
+    flood = Datagrams(random.Random(1), loss=0.0, inbox_per_s=100.0)
+    assert sum(flood.arrival(n * 100, 0, 1, 10) is not None for n in range(10_000)) < 140
+
+
+def test_the_ledger_finds_the_worst_stretch():
+    firm = Firm(1, 1, "heavy", 2.0, 2, 0)
+    rate, burst = PLANS[1].rate, int(PLANS[1].burst)
+    calm = Ledger(firm, [(0, True)] * burst)
+    assert calm.overspend() == 0.0 and all(calm.inside())
+    later = [(int(10 / rate * SECOND), True)] * 10
+    over = Ledger(firm, [(0, True)] * (burst + 3) + later)
+    assert over.overspend() == pytest.approx(3.0 if burst >= 10 else 10 - burst + max(0.0, 3 + burst - 10))
+    assert over.inside()[burst : burst + 3] == [False] * 3
+
+
+def test_the_same_seed_gives_the_same_run():
+    scene = {"seed": 5, "length": 4 * SECOND, "outages": (Outage(1, SECOND, 2 * SECOND),)}
+    first, second = (World(Scene(**scene)).run() for _ in range(2))
+    assert first == second and first.calls_each > 0
+    assert World(Scene(**{**scene, "seed": 6})).run() != first
+
+
+# ---- on sockets ---------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("line", "read"),
+    [
+        ("POST /v1/count/17?add=-2.5&ttl_ms=4000 HTTP/1.1", ("17", -2.5, 4_000_000)),
+        ("POST /v1/count/a?add=1e3&ttl_ms=1 HTTP/1.1", ("a", 1000.0, 1_000)),
+        ("POST /v1/count/a?add=1&ttl_ms=0 HTTP/1.1", 400),
+        ("POST /v1/count/a?add=nan&ttl_ms=1 HTTP/1.1", 400),
+        ("POST /v1/count/a?ttl_ms=1 HTTP/1.1", 400),
+        ("POST /v1/count/a?add=2e9&ttl_ms=1 HTTP/1.1", 400),
+        ("GET /v1/count/a?add=1&ttl_ms=1 HTTP/1.1", 404),
+        (f"POST /v1/count/{'a' * 65}?add=1&ttl_ms=1 HTTP/1.1", 404),
+        ("noise", 404),
+    ],
+)
+def test_calls_are_read_by_the_protocol(line, read):
+    got = read_call(line)
+    assert got == read if isinstance(read, tuple) else got.startswith(b"HTTP/1.1 %d " % read)
+
+
+def test_the_counter_answers_a_real_client():
+    async def scene():
+        async with (
+            CounterServer(counter(), Timeline()).listen() as server,
+            aiohttp.ClientSession() as session,
+        ):
+            url = f"http://127.0.0.1:{server.port}/v1/count/7?ttl_ms=60000&add="
+            for amount, total in (("2.5", "2.5"), ("0", "2.5"), ("-1", "1.5")):
+                async with session.post(url + amount) as answer:
+                    assert answer.status == 200 and await answer.text() == total
+            async with session.post(url + "x") as answer:
+                assert answer.status == 400
+
+    run(scene())
+
+
+CALL = b"POST /v1/count/a?add=1&ttl_ms=60000 HTTP/1.1\r\nHost: c\r\n\r\n"
+
+
+def test_calls_on_one_connection_are_answered_in_their_order_and_late():
+    async def scene():
+        slow = Counter(per_second=50.0, parts=1, queue_us=SECOND)
+        async with CounterServer(slow, Timeline()).listen() as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(CALL * 3)
+            totals = []
+            for _ in range(3):
+                head = await reader.readuntil(b"\r\n\r\n")
+                totals.append(await reader.readexactly(int(head.split(b"Length: ")[1].split(b"\r")[0])))
+            assert totals == [b"1", b"2", b"3"]
+            writer.close()
+
+    run(scene())
+
+
+def test_connections_beyond_the_bound_are_reset_and_a_replaced_counter_breaks_the_others():
+    async def scene():
+        timeline = Timeline()
+        model = counter(Fault(FaultKind.REPLACED, 10**12))
+        async with CounterServer(model, timeline).listen() as server:
+            held = [await asyncio.open_connection("127.0.0.1", server.port) for _ in range(MOST_CONNECTIONS)]
+            await until(lambda: sum(map(len, server.open.values())) == MOST_CONNECTIONS)
+            reader, _ = await asyncio.open_connection("127.0.0.1", server.port)
+            with pytest.raises(ConnectionError):
+                await reader.read()
+            assert server.reset == 1
+            timeline.begun_ns -= 10**15 + 10**9  # the time of the fault has come
+            held[0][1].write(CALL)
+            for reader, _ in held:
+                with pytest.raises(ConnectionError):
+                    await reader.read()
+
+    run(scene())
+
+
+class Listener(asyncio.DatagramProtocol):
+    def __init__(self):
+        self.heard = []
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.address = transport.get_extra_info("sockname")
+
+    def datagram_received(self, data, addr):
+        self.heard.append((data, addr))
+
+
+def test_a_datagram_arrives_from_the_address_its_receiver_knows_the_sender_by():
+    async def scene():
+        loop = asyncio.get_running_loop()
+        ends = []
+        for _ in range(2):
+            _, end = await loop.create_datagram_endpoint(Listener, local_addr=("127.0.0.1", 0))
+            ends.append(end)
+        model = Datagrams(random.Random(1), loss=0.0, least_us=0, most_us=1)
+        path = DatagramPath(model, Timeline(), [end.address for end in ends])
+        async with path.open():
+            host, port = path.peers_of(0)[1].split(":")
+            ends[0].transport.sendto(b"hello", (host, int(port)))
+            await until(lambda: ends[1].heard)
+            (data, sender), known = ends[1].heard[0], path.peers_of(1)[0].split(":")
+            assert data == b"hello" and sender == (known[0], int(known[1]))
+        for end in ends:
+            end.transport.close()
+
+    run(scene())
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,8 +9,7 @@
 
 from vetchusher import interface as api
 from vetchusher.interface import Outcome
-from vetchusher.limits import CounterHealth, State, codec, promise
-from vetchusher.limits.health import LOST_US, RETURN_US, SPLIT_MOST_US
+from vetchusher.limits import CounterHealth, State, Tuning, codec, promise
 from vetchusher.limits.spends import MOST_LIVES, Spends
 
 MS = 1_000
@@ -20,6 +19,9 @@
 STEADY = (replace(PLAN, name="mellan"),)
 
 
+LOST_US, RETURN_US, SPLIT_MOST_US = Tuning().lost_us, Tuning().return_us, Tuning().split_most_us
+
+
 # ---- the counter's state ------------------------------------------------------------
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """The pure parts of the ingress: parsers as tables of cases, the reducer as tables of events and effects."""
 
+import io
 import logging
 
 import orjson
@@ -9,7 +10,7 @@
 from vetchusher import interface as api
 from vetchusher import wire
 from vetchusher.interface import FleetKind, Outcome, WorkerState
-from vetchusher.net import cli, config, protocol
+from vetchusher.net import config, logs, protocol
 from vetchusher.net import effects as fx
 from vetchusher.net.reducer import RETRY_TIMER_US, Reducer
 from vetchusher.net.runtime import Clock
@@ -139,9 +140,28 @@
 
 def test_log_lines_are_few_and_short():
     record = logging.makeLogRecord({"msg": "x" * 10_000, "created": 5.0})
-    few = cli.FewLines()
-    assert sum(few.filter(record) for _ in range(100)) == cli.MOST_LINES
-    assert len(cli.Bounded("%(message)s").format(record)) == cli.MOST_CHARACTERS
+    few = logs.FewLines()
+    assert sum(few.filter(record) for _ in range(100)) == logs.MOST_LINES
+    line = orjson.loads(logs.formatter().format(record))
+    assert len(line["event"]) == logs.MOST_CHARACTERS
+
+
+def test_log_lines_are_json_with_the_facts_beside_the_text():
+    stream = io.StringIO()
+    handler = logs.start_logging(stream)
+    try:
+        log = logging.getLogger("vetchusher")
+        log.info("state of %s", "n0", extra={"facts": {"counter": "lost", "overspend_units": 1.5}})
+        try:
+            raise ValueError("two\nlines")
+        except ValueError:
+            log.exception("it failed")
+    finally:
+        logging.getLogger().removeHandler(handler)
+    first, second = map(orjson.loads, stream.getvalue().splitlines())
+    assert first.pop("at").startswith("20")
+    assert first == {"event": "state of n0", "level": "info", "counter": "lost", "overspend_units": 1.5}
+    assert second["level"] == "error" and "ValueError: two\nlines" in second["exception"]
 
 
 def test_clock_is_unix_time_and_agrees_with_the_loop(monkeypatch):
--- /dev/null
+++ b/vetchusher/emulator/rig.py
@@ -0,0 +1,296 @@
+"""Real `serve` processes among the stand-ins: started, killed, started again, and asked over HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+from dataclasses import dataclass, field
+from typing import Any
+
+from .audit import Audit, Findings
+from .counter import Counter
+from .demand import PLANS, Ask, draw_asks, draw_firms
+from .messages import free_port, read_message, write_answer
+from .network import Datagrams
+from .sockets import CounterServer, DatagramPath, Timeline
+from .virtual import Outage, Scene
+
+SERVERS = 4
+READY_S = 30.0
+SERVED_US = 30_000  # a share server's time for a command
+WAIT_S = 4.0  # what a client waits for its answer
+
+
+def settings(number: int, ingresses: int, peers: bool) -> dict[str, Any]:
+    return {
+        "az": 0,
+        "balancers": ingresses,
+        "my_number": number,
+        "classes": [
+            {
+                "name": "read-shares",
+                "effect": "idempotent",
+                "key_scope": "all",
+                "aim": 1_200_000,
+                "hard_limit": 4_000_000,
+                "credit": 3.0,
+                "late_share": 0.2,
+            }
+        ],
+        "contracts": [
+            {
+                "name": p.name,
+                "depth": p.burst,
+                "units_per_s": p.rate,
+                "price": p.price,
+                "beyond_earns": p.over_worth,
+                "over_cost": p.over_cost,
+            }
+            for p in PLANS
+        ],
+        "extra": {"counter": True, "count_limit": 50_000, "units_top": 1, "inbox_per_s": 100.0},
+        "failure_domains": ["one"],
+        "kinds": ["std"],
+        "limits": {
+            "cancelling": True,
+            "conn_idle": 15_000_000,
+            "connect_timeout": 250_000,
+            "may_duplicate": True,
+            "most_tries": 3,
+            "peers": peers,
+            "retry_after": True,
+            "max_retry_after": 2_000_000,
+        },
+        "invariants": {"cold": 17_000_000, "cold_from": 0.24, "tip_after": 1_000_000, "fall_multiple": 3.0},
+    }
+
+
+@dataclass(slots=True)
+class ShareServers:
+    """Servers that answer every command after the same time, and note which commands reached them."""
+
+    reached: set[str] = field(default_factory=set)
+    ports: list[int] = field(default_factory=list)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                _, headers, _ = await read_message(reader)
+                self.reached.add(headers.get("Request-Id", ""))
+                await asyncio.sleep(SERVED_US / 1e6)
+                writer.write(write_answer("200 OK", b"shares"))
+        writer.close()
+
+
+@dataclass(slots=True)
+class Discovery:
+    """Tells one list and never anything new."""
+
+    body: bytes
+    port: int = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                first, _, _ = await read_message(reader)
+                if "after=" in first:
+                    await reader.read()  # until the watcher hangs up
+                    break
+                writer.write(write_answer("200 OK", self.body))
+        writer.close()
+
+
+def name_table(ports: list[int]) -> bytes:
+    listed = [
+        {
+            "instanceId": f"s-{i}",
+            "hostPort": f"127.0.0.1:{port}",
+            "zone": "one",
+            "machineType": "std",
+            "cell": i,
+            "lifecycle": "SERVING",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+        for i, port in enumerate(ports)
+    ]
+    return json.dumps({"generation": 1, "reset": True, "instances": listed}).encode()
+
+
+class Client:
+    """The front's connections to one ingress: idle ones are used again."""
+
+    def __init__(self) -> None:
+        self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def ask(self, port: int, head: bytes) -> int:
+        """The status of the answer; 0 if there was none."""
+        kept = self.idle.pop() if self.idle else None
+        try:
+            async with asyncio.timeout(WAIT_S + 1.0):
+                reader, writer = kept or await asyncio.open_connection("127.0.0.1", port)
+                writer.write(head)
+                first, headers, _ = await read_message(reader)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            return 0
+        if headers.get("Connection", "").lower() == "close":
+            writer.close()
+        else:
+            self.idle.append((reader, writer))
+        return int(first.split(" ")[1])
+
+    def drop(self) -> None:
+        for _, writer in self.idle:
+            writer.close()
+        self.idle.clear()
+
+
+@dataclass(slots=True, frozen=True)
+class RigOutcomes:
+    findings: Findings
+    calls_each: float
+    bytes_each: float
+    unanswered: int  # commands that got no answer at all, killed ingresses' included
+    log: tuple[str, ...]
+
+
+class Rig:
+    """One scene on sockets.  It owns the processes it starts: each ends in `stop`."""
+
+    def __init__(self, scene: Scene, folder: pathlib.Path) -> None:
+        self.scene = scene
+        self.folder = folder
+        rng = random.Random(scene.seed)
+        self.firms = draw_firms(rng, scene.firms, scene.ingresses)
+        self.asks = draw_asks(rng, self.firms, scene.ingresses, scene.length)
+        self.ports = [free_port(socket.SOCK_STREAM) for _ in range(scene.ingresses)]
+        self.hearing = [("127.0.0.1", free_port(socket.SOCK_DGRAM)) for _ in range(scene.ingresses)]
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.clients = [Client() for _ in range(scene.ingresses)]
+        self.servers = ShareServers()
+        self.statuses: dict[str, int] = {}
+
+    async def run(self) -> RigOutcomes:
+        scene = self.scene
+        timeline = Timeline()
+        model = Counter(scene.script, scene.counter_per_s)
+        datagrams = Datagrams(random.Random(scene.seed + 1), scene.loss, cuts=scene.cuts)
+        async with contextlib.AsyncExitStack() as opened:
+            for _ in range(SERVERS):
+                self.servers.ports.append(await listen(opened, self.servers.serve))
+            discovery = Discovery(name_table(self.servers.ports))
+            discovery.port = await listen(opened, discovery.serve)
+            # Each ingress reaches the counter at a port of its own, by which it is told from the others.
+            counters = [
+                await opened.enter_async_context(CounterServer(model, timeline, n).listen())
+                for n in range(scene.ingresses)
+            ]
+            path = await opened.enter_async_context(DatagramPath(datagrams, timeline, self.hearing).open())
+            for n in range(scene.ingresses):
+                self.configure(n, discovery.port, counters[n].port, path)
+            opened.push_async_callback(self.stop)
+            await asyncio.gather(*(self.start(n) for n in range(scene.ingresses)))
+            await asyncio.sleep(1.5)  # past the careful first seconds
+            timeline.begun_ns = Timeline().begun_ns
+            model.calls = 0
+            datagrams.bytes = 0
+            outages = [self.outage(timeline, outage) for outage in scene.outages]
+            await asyncio.gather(self.play(timeline), *outages)
+        audit = Audit(self.firms)
+        for number, ask in enumerate(self.asks):
+            audit.note(ask, request_id(number) in self.servers.reached)
+        asked = max(1, len(self.asks))
+        return RigOutcomes(
+            audit.findings(scene.length),
+            model.calls / asked,
+            datagrams.bytes / asked,
+            sum(status == 0 for status in self.statuses.values()),
+            tuple(self.log_lines()),
+        )
+
+    def configure(self, n: int, discovery: int, counter: int, path: DatagramPath) -> None:
+        told = {
+            "name": f"n{n}",
+            "listen": f"127.0.0.1:{self.ports[n]}",
+            "discovery": f"127.0.0.1:{discovery}",
+            "counter": f"127.0.0.1:{counter}",
+            "seed": f"{self.scene.seed * 100 + n:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "peer_listen": "{}:{}".format(*self.hearing[n]),
+            "peers": path.peers_of(n),
+            "known": json.loads(name_table(self.servers.ports)),
+            "settings": settings(n, self.scene.ingresses, self.scene.peers),
+        }
+        (self.folder / f"n{n}.json").write_text(json.dumps(told))
+
+    async def start(self, n: int) -> None:
+        command = [sys.executable, "-m", "vetchusher", "serve", "--config", str(self.folder / f"n{n}.json")]
+        with open(self.folder / f"n{n}.log", "ab") as log:
+            self.processes[n] = await asyncio.create_subprocess_exec(
+                *command, stdout=log, stderr=log, env=dict(os.environ)
+            )
+        async with asyncio.timeout(READY_S):
+            head = b"GET /health/ready HTTP/1.1\r\nHost: rig\r\n\r\n"
+            while await self.clients[n].ask(self.ports[n], head) != 200:
+                await asyncio.sleep(0.02)
+
+    async def kill(self, n: int) -> None:
+        process = self.processes.pop(n, None)
+        if process is not None and process.returncode is None:
+            process.send_signal(signal.SIGKILL)
+            await process.wait()
+        self.clients[n].drop()
+
+    async def stop(self) -> None:
+        for n in list(self.processes):
+            await self.kill(n)
+
+    async def outage(self, timeline: Timeline, outage: Outage) -> None:
+        await timeline.until(outage.dies)
+        await self.kill(outage.ingress)
+        await timeline.until(outage.returns)
+        await self.start(outage.ingress)
+
+    async def play(self, timeline: Timeline) -> None:
+        running: set[asyncio.Task[None]] = set()
+        for number, ask in enumerate(self.asks):
+            await timeline.until(ask.at)
+            task = asyncio.ensure_future(self.ask(number, ask))
+            running.add(task)
+            task.add_done_callback(running.discard)
+        await asyncio.gather(*running)
+
+    async def ask(self, number: int, ask: Ask) -> None:
+        firm = ask.firm
+        doors = [ask.door, *((firm.first + k) % self.scene.ingresses for k in range(firm.doors))]
+        door = next((d for d in doors if d in self.processes), ask.door)
+        head = (
+            f"GET /read-shares HTTP/1.1\r\nHost: rig\r\nRequest-Id: {request_id(number)}\r\n"
+            f"Api-Plan: {PLANS[firm.plan_id].name}\r\nApi-Customer: {firm.customer:016x}\r\n"
+            f"Request-Timeout: {WAIT_S}\r\n"
+            f"Api-Terms: units=1,spread={firm.doors},first={firm.first}\r\n\r\n"
+        )
+        self.statuses[request_id(number)] = await self.clients[door].ask(self.ports[door], head.encode())
+
+    def log_lines(self) -> list[str]:
+        lines = []
+        for n in range(self.scene.ingresses):
+            lines += [f"n{n} {line}" for line in (self.folder / f"n{n}.log").read_text().splitlines()]
+        return lines
+
+
+def request_id(number: int) -> str:
+    return f"{number:016x}"
+
+
+async def listen(opened: contextlib.AsyncExitStack, serve: Any) -> int:
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    opened.callback(server.close)
+    return int(server.sockets[0].getsockname()[1])
--- a/vetchusher/limits/__init__.py
+++ b/vetchusher/limits/__init__.py
@@ -7,5 +7,6 @@
 from .guard import Limits
 from .health import CounterHealth, State
 from .promise import Promise, promise
+from .tuning import Tuning
 
-__all__ = ["CounterHealth", "Limits", "Promise", "State", "promise"]
+__all__ = ["CounterHealth", "Limits", "Promise", "State", "Tuning", "promise"]
--- a/vetchusher/limits/guard.py
+++ b/vetchusher/limits/guard.py
@@ -13,12 +13,11 @@
 
 from . import codec
 from .health import CounterHealth, State
-from .promise import SPEAK_US, promise
+from .promise import promise
 from .spends import Spends
+from .tuning import Tuning
 
-NEWBORN_US = 1_500_000  # us after a start in which the peers are asked for all they know
 ANSWER_US = 1_000_000  # us for which a peer that asks is told the news
-HEARD_US = 400_000  # us after which a peer's last word is too old to be its whole use
 TELLS = 2  # times each news is told: one datagram in fourteen is lost
 INBOX_PART = 0.6  # of what a peer takes in that all the others together may send it
 DISAGREE_UNITS = 1.5  # the peers' own sums beyond a fresh total, that chance and clocks do not make
@@ -48,16 +47,17 @@
     """Keeps quotas where the counter's totals do not.
 
     :param customers: the module's own records, by key: read, and their windows' `told` written here
-    :param seal: from `codec.seal_with`; None where messages are not authenticated
+    :param tuning: what operators may set; None for the measured figures
     """
 
     def __init__(
-        self, settings: api.Settings, customers: dict[int, Customer], seal: codec.Seal | None = None
+        self, settings: api.Settings, customers: dict[int, Customer], tuning: Tuning | None = None
     ) -> None:
         self.settings = settings
         self.customers = customers
-        self.seal = seal
-        self.health = CounterHealth()
+        self.tuning = tuning or Tuning()
+        self.seal = codec.seal_with(self.tuning.key) if self.tuning.key is not None else None
+        self.health = CounterHealth(self.tuning)
         self.spends = Spends()
         self.peers: dict[int, Peer] = {}
         self.on = settings.peers and settings.counter and settings.gateways > 1
@@ -77,7 +77,7 @@
             return False
         for number in self.set_of(who):
             peer = self.peers.get(number)
-            if peer is None or peer.heard_at < 0 or now - peer.heard_at > HEARD_US:
+            if peer is None or peer.heard_at < 0 or now - peer.heard_at > self.tuning.heard_us:
                 return False
         return True
 
@@ -208,11 +208,11 @@
         """Say what is due, and log a change of state."""
         if self.health.state is not self.told_state:
             self.told_state = self.health.state
-            tell(api.Log(self.describe()))
+            tell(self.describe())
         if not self.on:
             return
         self.spends.sweep(now)
-        newborn = now - self.born < NEWBORN_US
+        newborn = now - self.born < self.tuning.newborn_us
         uneasy = newborn or self.health.uneasy(now)
         if newborn:
             for number in range(self.settings.gateways):
@@ -228,7 +228,9 @@
     def pause(self) -> int:
         """Between two messages to one peer: all who speak to it must stay within what it takes in."""
         inbox = self.settings.peer_in_per_s
-        return max(SPEAK_US, int(len(self.peers) * 1e6 / (INBOX_PART * inbox)) if inbox > 0 else 0)
+        return max(
+            self.tuning.speak_us, int(len(self.peers) * 1e6 / (INBOX_PART * inbox)) if inbox > 0 else 0
+        )
 
     def speak(self, now: int, number: int, peer: Peer, uneasy: bool, newborn: bool, tell: Tell) -> None:
         flags = codec.ASKS * uneasy | codec.NEWBORN * newborn
@@ -323,18 +325,29 @@
             who.set = [m % rules.gateways for m in members if m % rules.gateways != rules.index]
         return who.set
 
-    def describe(self) -> str:
-        """One line: the counter's state and the promise, for the plan whose promise is widest."""
+    def describe(self) -> api.Log:
+        """The counter's state and what is promised in it, for the plan whose promise is widest."""
         rules, state = self.settings, self.health.state
+        name = state.name.lower()
         bounds = [
-            (promise(p, float(rules.gateways), rules.most_units, state, self.on), p)
+            (promise(p, float(rules.gateways), rules.most_units, state, self.on, self.tuning), p)
             for p in rules.plans
             if p.rate > 0 and p.over_cost > p.over_worth
         ]
         if not bounds:
-            return f"counter {state.name.lower()}"
+            return api.Log(f"counter {name}", {"counter": name})
         bound, plan = max(bounds, key=lambda b: b[0].part)
-        return (
-            f"counter {state.name.lower()}: a customer of plan {plan.name or '?'} is overspent by at most "
+        text = (
+            f"counter {name}: a customer of plan {plan.name or '?'} is overspent by at most "
             f"{bound.units:.1f} units, {bound.part:.3f} of its minute"
         )
+        facts: dict[str, object] = {
+            "counter": name,
+            "plan": plan.name,
+            "overspend_units": round(bound.units, 2),
+            "overspend_part": round(bound.part, 4),
+            "view_age_ms": bound.age_us // 1000,
+            "peers_heard": sum(p.heard_at >= 0 for p in self.peers.values()),
+            "datagrams_dropped": self.foreign,
+        }
+        return api.Log(text, facts)
--- a/vetchusher/limits/health.py
+++ b/vetchusher/limits/health.py
@@ -8,6 +8,8 @@
 
 from enum import IntEnum
 
+from .tuning import Tuning
+
 
 class State(IntEnum):
     """What the ingress holds of the counter; sent to peers by number, so numbers stay."""
@@ -22,14 +24,10 @@
 
 BAD_GAIN = 0.25  # weight of the newest call in the share that fail
 BAD_DOUBTED, BAD_TRUSTED = 0.4, 0.15  # share of failing calls: doubted above, trusted again below
-LOST_FAILS, LOST_US = 3, 300_000  # failures in a row, and us without an answer: it is lost
-RETURN_US = 1_000_000  # us of good answers after which a returned counter is trusted
+LOST_FAILS = 3  # failures in a row at least, beside the time without an answer: it is lost
 FLOW_KEPT = 0.99  # of the sums of own and others' units, at each answer
 FLOW_LEAST = 8.0  # own units below which the others' part is not known
-SPLIT_UNITS = 12.0  # others' units that should have shown and did not: they come in bunches
-SUSPECT_UNITS = 6.0  # the same, at which the peers are asked: asking costs a few bytes, a mistake does not
 SUSPECT_US = 1_000_000  # us for which they are asked
-SPLIT_MOST_US = 20_000_000  # us after which nobody is believed to be on another side any more
 
 
 class CounterHealth:
@@ -38,7 +36,8 @@
     It keeps a handful of numbers and no map.  Times are microseconds on the caller's clock.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, tuning: Tuning | None = None) -> None:
+        self.tuning = tuning or Tuning()
         self.state = State.TRUSTED
         self.since = 0  # us: when this state began
         self.good_at = -1  # the last answer
@@ -66,7 +65,7 @@
         self.fails += 1
         self.bad += BAD_GAIN * (1.0 - self.bad)
         quiet_since = max(self.good_at, self.failing_since) if self.good_at >= 0 else self.failing_since
-        if self.fails >= LOST_FAILS and now - quiet_since >= LOST_US:
+        if self.fails >= LOST_FAILS and now - quiet_since >= self.tuning.lost_us:
             self.move(now, State.LOST)
         elif self.state is State.TRUSTED and self.bad > BAD_DOUBTED:
             self.move(now, State.DOUBTED)
@@ -86,11 +85,15 @@
             self.move(now, State.RETURNED)
         elif self.state is State.DOUBTED and self.bad < BAD_TRUSTED:
             self.move(now, State.TRUSTED)
-        elif self.state is State.RETURNED and now - self.since >= RETURN_US and self.bad < BAD_TRUSTED:
+        elif (
+            self.state is State.RETURNED
+            and now - self.since >= self.tuning.return_us
+            and self.bad < BAD_TRUSTED
+        ):
             self.move(now, State.TRUSTED)
         elif self.state is State.FRESH and now >= self.fresh_until:
             self.move(now, State.RETURNED)
-        elif self.state is State.SPLIT and now - self.split_at >= SPLIT_MOST_US:
+        elif self.state is State.SPLIT and now - self.split_at >= self.tuning.split_most_us:
             self.own = self.others = self.missed = 0.0
             self.move(now, State.RETURNED)
 
@@ -109,9 +112,9 @@
             self.missed += own * self.others / self.own
         self.own = self.own * FLOW_KEPT + own
         self.others = self.others * FLOW_KEPT + others
-        if self.missed >= SUSPECT_UNITS:
+        if self.missed >= self.tuning.suspect_units:
             self.suspected_at = now
-        if self.missed >= SPLIT_UNITS:
+        if self.missed >= self.tuning.split_units:
             self.split(now)
 
     def split(self, now: int) -> None:
--- a/vetchusher/limits/promise.py
+++ b/vetchusher/limits/promise.py
@@ -25,10 +25,11 @@
 
 from vetchusher import interface as api
 
-from .health import LOST_US, State
+from .health import State
+from .tuning import Tuning
 
 PUSH_US, WAY_US = 62_500, 5_000  # between pushes of one firm; a call's way there and back
-SPEAK_US, DATAGRAM_US = 100_000, 25_000  # between messages to one peer; a datagram's way
+DATAGRAM_US = 25_000  # a datagram's way
 SPLIT_SEEN_US = 400_000  # a split shows within this where a few dozen units a second pass
 PEAK = 7.7  # times the rate: the most a firm is known to ask for
 
@@ -42,24 +43,26 @@
     age_us: int
 
 
-def age(state: State, peers: bool) -> int:
+def age(state: State, peers: bool, tuning: Tuning) -> int:
     """How old (us) what an ingress knows of the others may be."""
     counter = 2 * PUSH_US + WAY_US
-    spoken = 2 * SPEAK_US + 2 * DATAGRAM_US  # one message in fourteen is lost: the next one tells it too
+    spoken = 2 * tuning.speak_us + 2 * DATAGRAM_US  # a lost one is told by the next
     if state is State.TRUSTED:
         return counter
     if peers:
         return spoken if state is not State.SPLIT else max(spoken, SPLIT_SEEN_US)
-    return SPLIT_SEEN_US if state is State.SPLIT else LOST_US + counter
+    return SPLIT_SEEN_US if state is State.SPLIT else tuning.lost_us + counter
 
 
-def promise(plan: api.Plan, doors: float, most_units: float, state: State, peers: bool) -> Promise:
+def promise(
+    plan: api.Plan, doors: float, most_units: float, state: State, peers: bool, tuning: Tuning | None = None
+) -> Promise:
     """The bound in a state.
 
     :param doors: ingresses through which the firm's commands come
     :param peers: whether these exchange messages
     """
-    old = age(state, peers) / 1e6
+    old = age(state, peers, tuning or Tuning()) / 1e6
     others = max(0.0, doors - 1.0)
     unknown = min(PEAK * plan.rate * old, others * (plan.burst + plan.rate * old))
     units = (unknown + others * most_units) if others else 0.0
--- /dev/null
+++ b/vetchusher/limits/tuning.py
@@ -0,0 +1,20 @@
+"""The figures that operators may set; the defaults are those measured."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Tuning:
+    """See deploy/limits.schema.json for the meaning of each.  Times are microseconds."""
+
+    key: bytes | None = None  # of messages between ingresses; none: they are not authenticated
+    speak_us: int = 100_000
+    heard_us: int = 400_000
+    newborn_us: int = 1_500_000
+    lost_us: int = 300_000
+    return_us: int = 1_000_000
+    suspect_units: float = 6.0
+    split_units: float = 12.0
+    split_most_us: int = 20_000_000
--- a/vetchusher/net/cli.py
+++ b/vetchusher/net/cli.py
@@ -1,8 +1,8 @@
 """vetchusher: an ingress that admits by plan and routes to share servers.
 
 Usage:
-  vetchusher serve [--config FILE]
-  vetchusher check-config [--config FILE]
+  vetchusher serve [--config FILE] [--limits FILE]
+  vetchusher check-config [--config FILE] [--limits FILE]
   vetchusher version
   vetchusher (-h | --help)
 
@@ -13,13 +13,14 @@
 
 Options:
   --config FILE  The configuration; without it, the file that NODE_CONFIG names.
+  --limits FILE  How quotas are kept while the counter fails, as in deploy/limits.json; without it, by the
+                 figures of that file.
 """
 
 from __future__ import annotations
 
 import asyncio
 import gc
-import logging
 import os
 import sys
 
@@ -27,47 +28,28 @@
 from docopt import docopt
 
 from vetchusher import __version__
+from vetchusher.limits import Tuning
+from vetchusher.settings import SettingsError
 
 from . import config as configuration
 from .ingress import Ingress
+from .logs import start_logging
 
-MOST_LINES, MOST_CHARACTERS = 20, 2_000
 
-
-class Bounded(logging.Formatter):
-    """Lines of bounded length: others choose what some of them quote."""
-
-    def format(self, record: logging.LogRecord) -> str:
-        return super().format(record)[:MOST_CHARACTERS]
-
-
-class FewLines(logging.Filter):
-    """So many lines a second at most: junk from outside must not turn the log into work."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.second, self.lines = 0, 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if int(record.created) != self.second:
-            self.second, self.lines = int(record.created), 0
-        self.lines += 1
-        return self.lines <= MOST_LINES
-
-
-def start_logging() -> None:
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(Bounded("%(asctime)s %(levelname)s %(message)s"))
-    handler.addFilter(FewLines())
-    logging.getLogger().addHandler(handler)
-    logging.getLogger().setLevel(logging.INFO)
-
-
-async def serve(config: configuration.Config, path: str) -> None:
+async def serve(config: configuration.Config, path: str, tuning: Tuning | None) -> None:
     # What start-up made lives as long as the process: the collector need not walk it again and again.
     gc.collect()
     gc.freeze()
-    await Ingress(config, asyncio.get_running_loop(), path).run()
+    await Ingress(config, asyncio.get_running_loop(), path, tuning).run()
+
+
+def read_tuning(path: str | None) -> Tuning | None:
+    if not path:
+        return None
+    # Loaded where there is a file to check: the schema library takes time and memory at every start.
+    from vetchusher.settings.limits import read_limits
+
+    return read_limits(path)
 
 
 def main(argv: list[str]) -> int:
@@ -80,15 +62,18 @@
         if not path:
             raise configuration.ConfigError("no configuration: give --config or set NODE_CONFIG")
         config = configuration.load(path)
+        tuning = read_tuning(given["--limits"])
         if given["check-config"]:
             classes = ", ".join(c.name for c in config.settings.classes)
             plans = ", ".join(p.name for p in config.settings.plans)
             host, port = config.listen
             print(f"{config.name}: listens at {host}:{port}; classes {classes}; plans {plans}")
+            sealed = "sealed" if tuning is not None and tuning.key is not None else "not sealed"
+            print(f"messages between ingresses: {sealed if config.settings.peers else 'off'}")
             return 0
         start_logging()
-        uvloop.run(serve(config, path))
-    except configuration.ConfigError as err:
+        uvloop.run(serve(config, path, tuning))
+    except (configuration.ConfigError, SettingsError) as err:
         print(f"vetchusher: {err}", file=sys.stderr)
         return 2
     except OSError as err:
--- a/vetchusher/net/ingress.py
+++ b/vetchusher/net/ingress.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 
+from vetchusher.limits import Tuning
 from vetchusher.policy import AdmissionPolicy
 
 from . import effects as fx
@@ -27,12 +28,14 @@
 
 
 class Ingress:
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, path: str = "") -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, path: str = "", tuning: Tuning | None = None
+    ) -> None:
         self.config = config
         self.path = path  # where the configuration is read again
         self.loop = loop
         settings, bounds = config.settings, config.bounds
-        reducer = Reducer(AdmissionPolicy(settings, config.seed), settings, bounds.commands)
+        reducer = Reducer(AdmissionPolicy(settings, config.seed, tuning), settings, bounds.commands)
         self.runtime = Runtime(loop, reducer)
         self.clients = ServiceClients(self.runtime, CommandReader(settings), bounds.clients)
         self.names = NameTable(self.runtime, settings, config.discovery, self.names_changed)
--- /dev/null
+++ b/vetchusher/net/logs.py
@@ -0,0 +1,71 @@
+"""Log lines: JSON, one a line, few and short whatever others send."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TextIO
+
+import orjson
+import structlog
+from structlog.typing import EventDict, WrappedLogger
+
+MOST_LINES, MOST_CHARACTERS = 20, 2_000
+
+
+class FewLines(logging.Filter):
+    """So many lines a second at most: junk from outside must not turn the log into work."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second, self.lines = 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self.second:
+            self.second, self.lines = int(record.created), 0
+        self.lines += 1
+        return self.lines <= MOST_LINES
+
+
+def shorten(_: WrappedLogger, __: str, event: EventDict) -> EventDict:
+    """Bound each text: others choose what some of them quote, and a line cut anywhere is no JSON."""
+    for name, value in event.items():
+        if isinstance(value, str) and len(value) > MOST_CHARACTERS:
+            event[name] = value[:MOST_CHARACTERS]
+    return event
+
+
+def add_facts(_: WrappedLogger, __: str, event: EventDict) -> EventDict:
+    """The figures that a line brings beside its text."""
+    facts = getattr(event.get("_record"), "facts", None)
+    return {**event, **facts} if facts else event
+
+
+def render(_: WrappedLogger, __: str, event: EventDict) -> str:
+    return orjson.dumps(event, default=repr).decode()
+
+
+def formatter() -> logging.Formatter:
+    return structlog.stdlib.ProcessorFormatter(
+        foreign_pre_chain=[
+            structlog.stdlib.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="at"),
+        ],
+        processors=[
+            add_facts,
+            structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+            structlog.processors.format_exc_info,
+            shorten,
+            render,
+        ],
+    )
+
+
+def start_logging(stream: TextIO | None = None) -> logging.Handler:
+    """Send all loggers' lines to the stream, standard error by default."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(formatter())
+    handler.addFilter(FewLines())
+    logging.getLogger().addHandler(handler)
+    logging.getLogger().setLevel(logging.INFO)
+    return handler
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -14,7 +14,7 @@
 
 from . import interface as api
 from .interface import Effect, FleetKind, Outcome, RequestClass, Scope, WorkerState
-from .limits import Limits
+from .limits import Limits, Tuning
 from .state import Attempt, Customer, Kind, Window, Worker, mix64
 
 # Tuned values: quota
@@ -80,7 +80,7 @@
 class Quota:
     """Counts, pushes and the doubts about the counter."""
 
-    def __init__(self, settings: api.Settings, log: Logbook) -> None:
+    def __init__(self, settings: api.Settings, log: Logbook, tuning: Tuning | None = None) -> None:
         self.settings = settings
         self.log = log
         self.born = -1
@@ -91,7 +91,7 @@
         self.waiting: deque[Customer] = deque()  # due, but the calls out are at their bound
         self.behind: deque[Customer] = deque()  # the same, of those whose totals can hardly matter yet
         self.held: dict[int, list[Job]] = {}  # by the name of the call they wait for
-        self.limits = Limits(settings, self.customers)
+        self.limits = Limits(settings, self.customers, tuning)
         self.first_pace = CALLS_FIRST / settings.gateways / settings.counter_timeout * 1e6
         self.pace = self.first_pace
         self.tokens, self.paid_at = 1.0, 0
@@ -351,7 +351,7 @@
                 # Counts were lost.  Keep what stood there until the window ages out, and add again
                 # only what this gateway had put in: the others restore theirs, nothing counts twice.
                 window.floor = max(window.floor, window.total) + sent
-                window.restore = window.acked
+                window.restore = min(window.acked, must - event.total)
                 self.limits.health.lost_counts(now, (window.index + 2) * who.length)
                 self.log.add(now, acts, "lost", "counter lost counts: keeping floors, restoring own")
                 self.queue(who)
@@ -676,10 +676,10 @@
 class AdmissionPolicy:
     """One gateway's decisions.  Feed it events in order; carry out the actions it returns."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, tuning: Tuning | None = None) -> None:
         self.settings = settings
         log = Logbook()
-        self.quota = Quota(settings, log)
+        self.quota = Quota(settings, log, tuning)
         self.fleet = Fleet(settings, random.Random(seed), log)
         self.jobs: dict[int, Job] = {}
         self.retries = 1.0  # little: many gateways start together
