--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -217,6 +217,28 @@
     assert len(outs) == 1 and len(outs.pop()) > 1000
 
 
+def test_datagrams_go_out_to_one_or_to_all_and_come_in():
+    reply = wire.ReplyWriter()
+    reply.add(3, api.Say(b"hi 7"))
+    reply.add(3, api.Say(b"more", 2))
+    size, count = struct.unpack_from("<II", reply.frame())
+    body = reply.frame()[8:]
+    assert (size, count) == (56, 2)
+    assert struct.unpack_from("<BIIII", body) == (80, 3, 0xFFFFFFFF, 0, 4)
+    assert struct.unpack_from("<BIIII", body, 24) == (80, 3, 2, 4, 4) and body[48:] == b"hi 7more"
+    record = struct.pack("<BIIII", 90, 3, 1, 0, 4).ljust(48, b"\0")
+    assert wire.read_batch(1, record + b"hi 7") == [(90, 3, api.PeerMessage(1, b"hi 7"))]
+    with pytest.raises(wire.WireError, match="runs past"):
+        wire.read_batch(1, record + b"hi")
+
+
+def test_peers_are_read_from_the_settings():
+    told = {**SETTINGS, "limits": {"peers": True}, "extra": {"counter": True, "inbox_per_s": 100.0}}
+    settings = wire.read_settings(json.dumps(told).encode())
+    assert settings.peers and settings.peer_in_per_s == 100.0
+    assert not wire.read_settings(json.dumps(SETTINGS).encode()).peers
+
+
 def test_module_stays_reviewable():
     lines = (ROOT / "vetchusher/policy.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 800
--- a/vetchusher/emulator/rig.py
+++ b/vetchusher/emulator/rig.py
@@ -180,6 +180,10 @@
     async def run(self) -> RigOutcomes:
         scene = self.scene
         timeline = Timeline()
+        # Danger: told to end, it would leave ingresses running that nobody knows of.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         model = Counter(scene.script, scene.counter_per_s)
         datagrams = Datagrams(random.Random(scene.seed + 1), scene.loss, cuts=scene.cuts)
         async with contextlib.AsyncExitStack() as opened:
--- a/vetchusher/limits/guard.py
+++ b/vetchusher/limits/guard.py
@@ -18,6 +18,7 @@
 from .tuning import Tuning
 
 ANSWER_US = 1_000_000  # us for which a peer that asks is told the news
+IDLE_PAUSES = 2  # pauses between two messages without news: two of them are still within `heard_us`
 TELLS = 2  # times each news is told: one datagram in fourteen is lost
 INBOX_PART = 0.6  # of what a peer takes in that all the others together may send it
 DISAGREE_UNITS = 1.5  # the peers' own sums beyond a fresh total, that chance and clocks do not make
@@ -221,7 +222,8 @@
         for number, peer in self.peers.items():
             if not uneasy and now >= peer.asks_until and now >= peer.newborn_until:
                 continue
-            if now - peer.spoken_at >= self.pause():
+            # With nothing to tell, a word now and then says that nothing passed.
+            if now - peer.spoken_at >= self.pause() * (1 if peer.news or peer.walk else IDLE_PAUSES):
                 peer.spoken_at = now
                 self.speak(now, number, peer, uneasy, newborn, tell)
 
