Reckon a window's length in one place, and a message's room once

The change: window_length in state.py serves both; the entries are bounded where they are gathered; the pause is computed once a tick; the datagram bound comes from the codec. Decisions stay as they were.

--- a/vetchusher/emulator/virtual.py
+++ b/vetchusher/emulator/virtual.py
@@ -9,7 +9,7 @@
 
 import heapq
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
 
@@ -229,7 +229,3 @@
             self.datagrams.bytes / asked,
             tuple(self.log),
         )
-
-
-def play(scenes: Iterable[Scene]) -> list[Outcomes]:
-    return [World(scene).run() for scene in scenes]
--- a/vetchusher/limits/guard.py
+++ b/vetchusher/limits/guard.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from vetchusher import interface as api
-from vetchusher.state import Customer, Window
+from vetchusher.state import Customer, Window, window_length
 
 from . import codec
 from .health import CounterHealth, State
@@ -188,7 +188,7 @@
         plan_id = key & 0xFFFF
         if plan_id >= len(self.settings.plans) or (plan := self.settings.plans[plan_id]).rate <= 0:
             return
-        length = max(1, int(plan.burst / plan.rate * 1e6))
+        length = window_length(plan)
         index = now // length
         # The number nearest to the present one: clocks differ, and a message may cross a window's end.
         step = (entry.window - index + codec.WINDOWS // 2) % codec.WINDOWS - codec.WINDOWS // 2
@@ -219,11 +219,12 @@
             for number in range(self.settings.gateways):
                 if number != self.settings.index and self.near(number):
                     self.peer(number)
+        pause = self.pause()
         for number, peer in self.peers.items():
             if not uneasy and now >= peer.asks_until and now >= peer.newborn_until:
                 continue
             # With nothing to tell, a word now and then says that nothing passed.
-            if now - peer.spoken_at >= self.pause() * (1 if peer.news or peer.walk else IDLE_PAUSES):
+            if now - peer.spoken_at >= pause * (1 if peer.news or peer.walk else IDLE_PAUSES):
                 peer.spoken_at = now
                 self.speak(now, number, peer, uneasy, newborn, tell)
 
@@ -237,15 +238,9 @@
     def speak(self, now: int, number: int, peer: Peer, uneasy: bool, newborn: bool, tell: Tell) -> None:
         flags = codec.ASKS * uneasy | codec.NEWBORN * newborn
         head = codec.Message(self.settings.index, self.life, self.health.state, flags, now // 1_000)
-        left = codec.room(self.seal is not None)
-        entries: list[bytes] = []
         # While totals are only suspected, what cannot change a decision soon is not worth its bytes.
         calm = not newborn and State.TRUSTED is self.health.state is peer.state and now >= peer.newborn_until
-        for part in self.news_for(now, number, peer, calm):
-            if len(part) > left:
-                break
-            left -= len(part)
-            entries.append(part)
+        entries = self.news_for(now, number, peer, calm)
         tell(api.Say(codec.write(head, entries, self.seal), number))
 
     def news_for(self, now: int, number: int, peer: Peer, calm: bool) -> list[bytes]:
--- a/vetchusher/limits/health.py
+++ b/vetchusher/limits/health.py
@@ -27,7 +27,7 @@
 LOST_FAILS = 3  # failures in a row at least, beside the time without an answer: it is lost
 FLOW_KEPT = 0.99  # of the sums of own and others' units, at each answer
 FLOW_LEAST = 8.0  # own units below which the others' part is not known
-SUSPECT_US = 1_000_000  # us for which they are asked
+SUSPECT_US = 1_000_000  # us for which the peers are asked once a split is suspected
 
 
 class CounterHealth:
--- a/vetchusher/net/peers.py
+++ b/vetchusher/net/peers.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from typing import cast
 
+from vetchusher.limits.codec import MOST_BYTES
+
 from . import effects as fx
 from .runtime import Runtime
 
-log = logging.getLogger("vetchusher")
-
-MOST_BYTES = 256
 MOST_IN_PART = 2.0  # times what the settings say an ingress takes in: more is not even looked at
 
 
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -15,7 +15,7 @@
 from . import interface as api
 from .interface import Effect, FleetKind, Outcome, RequestClass, Scope, WorkerState
 from .limits import Limits, Tuning
-from .state import Attempt, Customer, Kind, Window, Worker, mix64
+from .state import Attempt, Customer, Kind, Window, Worker, mix64, window_length
 
 # Tuned values: quota
 SYNC_US, SYNC_SLICES = 62_500, 2  # us between pushes of one customer, and parts they are spread over
@@ -105,7 +105,7 @@
         doors, key = event.doors, event.customer << 16 | event.plan_id
         if (who := self.customers.get(key)) is None:
             plan = self.settings.plans[event.plan_id]
-            length = max(1, int(plan.burst / plan.rate * 1e6)) if plan.rate > 0 else 0
+            length = window_length(plan)
             index = now // length if length else 0
             doors = max(1.0, doors)
             # The ceiling store starts empty at birth: a restart must not refill it.
--- a/vetchusher/state.py
+++ b/vetchusher/state.py
@@ -7,6 +7,11 @@
 from . import interface as api
 
 
+def window_length(plan: api.Plan) -> int:
+    """Microseconds of a plan's window: names and messages of all gateways count windows by it; 0: no rate."""
+    return max(1, int(plan.burst / plan.rate * 1e6)) if plan.rate > 0 else 0
+
+
 @dataclass(slots=True)
 class Window:
     """One customer's count in one window: a pulled total plus what is not yet in it."""
