Serve on the listener the platform holds, and share the peers' address during upgrades

The door takes the inherited descriptor and checks that it listens (else one line, code 1); the datagram socket is bound with SO_REUSEPORT, and where it still cannot be had the ingress goes on unheard and tries again every 0.5 s instead of exiting.

--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -274,7 +274,12 @@
     return uvloop.run(bounded())
 
 
-def start_program(path):
-    environment = os.environ | {"NODE_CONFIG": str(path)}
+def start_program(path, listener=None, **variables):
+    """The real program; `listener`, a socket of the test, is handed down as the platform does."""
+    environment = os.environ | {"NODE_CONFIG": str(path)} | variables
+    passed: tuple[int, ...] = ()
+    if listener is not None:
+        passed = (listener.fileno(),)
+        environment["NODE_SOCKET_FD"] = str(listener.fileno())
     command = [sys.executable, "-m", "vetchusher", "serve"]
-    return subprocess.Popen(command, env=environment, stderr=subprocess.PIPE)
+    return subprocess.Popen(command, env=environment, stderr=subprocess.PIPE, pass_fds=passed)
--- a/vetchusher/net/cli.py
+++ b/vetchusher/net/cli.py
@@ -61,7 +61,7 @@
     try:
         if not path:
             raise configuration.ConfigError("no configuration: give --config or set NODE_CONFIG")
-        config = configuration.load(path)
+        config = configuration.load(path, os.environ)
         tuning = read_tuning(given["--limits"])
         if given["check-config"]:
             classes = ", ".join(c.name for c in config.settings.classes)
--- a/vetchusher/net/config.py
+++ b/vetchusher/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -42,6 +43,18 @@
     peer_listen: tuple[str, int] | None = None
     peers: tuple[tuple[str, int], ...] = ()
     peers_all: tuple[str, int] | None = None
+    socket_fd: int | None = None  # the clients' listening socket, held by the platform on upgrade days
+    console: tuple[str, int] | None = None  # the second address, for operators
+
+
+def read_descriptor(text: str) -> int | None:
+    """The descriptor of `$NODE_SOCKET_FD`: a small number, or nothing where the variable is empty."""
+    text = text.strip()
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(f"NODE_SOCKET_FD is not a descriptor: {text!r}")
+    return int(text)
 
 
 def read_address(text: object) -> tuple[str, int]:
@@ -64,9 +77,17 @@
     return Bounds(min(open_cap, attempts * 9 // 10), clients, attempts, counter)
 
 
-def parse(raw: bytes) -> Config:
+def parse(raw: bytes, environ: Mapping[str, str] | None = None) -> Config:
+    """The configuration from the file's bytes, and from the platform's variables where they are given.
+
+    Raises `ConfigError` with one plain line naming what cannot be used.
+    """
+    environ = environ or {}
+    socket_fd = read_descriptor(environ.get("NODE_SOCKET_FD", ""))
     try:
         tree = orjson.loads(raw)
+        console_text = environ.get("NODE_CONSOLE") or tree.get("console")
+        console = read_address(console_text) if console_text else None
         listen = read_address(tree["listen"])
         discovery, counter = str(tree["discovery"]), str(tree.get("counter") or "")
         read_address(discovery)
@@ -91,6 +112,8 @@
             peer_listen=peer_listen if settings.peers else None,
             peers=peers,
             peers_all=peers_all,
+            socket_fd=socket_fd,
+            console=console,
         )
     except wire.WireError as err:
         raise ConfigError(str(err)) from None
@@ -100,9 +123,9 @@
         raise ConfigError(f"unusable configuration: {' '.join(str(err).split())}") from None
 
 
-def load(path: str) -> Config:
+def load(path: str, environ: Mapping[str, str] | None = None) -> Config:
     try:
         raw = pathlib.Path(path).read_bytes()
     except OSError as err:
         raise ConfigError(f"cannot read {path}: {err.strerror}") from None
-    return parse(raw)
+    return parse(raw, environ)
--- a/vetchusher/net/door.py
+++ b/vetchusher/net/door.py
@@ -95,12 +95,24 @@
         self.waiting = False  # nobody is accepted until there is room
         self.sweeper: asyncio.TimerHandle | None = None
 
-    def open(self, host: str, port: int) -> None:
-        listener = socket.socket()
+    def open(self, host: str, port: int, inherited: int | None = None) -> None:
+        """Listen at host and port, or take the listening socket of descriptor `inherited`.
+
+        Danger: where the platform holds the listener, binding the address again fails while an older
+        process lives; and a socket of one's own would drop whatever waits in its line at the end.
+        Raises OSError where the descriptor is no listening TCP socket.
+        """
+        listener = socket.socket(fileno=inherited) if inherited is not None else socket.socket()
         try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((host, port))
-            listener.listen(BACKLOG)
+            if inherited is not None:
+                if listener.type != socket.SOCK_STREAM or not listener.getsockopt(
+                    socket.SOL_SOCKET, socket.SO_ACCEPTCONN
+                ):
+                    raise OSError(f"descriptor {inherited} is not a listening TCP socket")
+            else:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                listener.bind((host, port))
+                listener.listen(BACKLOG)
         except OSError:
             listener.close()
             raise
--- a/vetchusher/net/ingress.py
+++ b/vetchusher/net/ingress.py
@@ -70,7 +70,7 @@
 
     async def start(self) -> None:
         await self.peers.open()
-        self.clients.door.open(*self.config.listen)
+        self.clients.door.open(*self.config.listen, self.config.socket_fd)
         self.names.start(self.config.known)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop.set)
--- a/vetchusher/net/peers.py
+++ b/vetchusher/net/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import cast
 
 from vetchusher.limits.codec import MOST_BYTES
@@ -10,6 +11,9 @@
 from . import effects as fx
 from .runtime import Runtime
 
+log = logging.getLogger("vetchusher")
+
+RETRY_S = 0.5  # while another process holds the address of peer_listen
 MOST_IN_PART = 2.0  # times what the settings say an ingress takes in: more is not even looked at
 
 
@@ -37,11 +41,29 @@
         self.second, self.taken = 0, 0
         self.transport: asyncio.DatagramTransport | None = None
         self.dropped = 0
+        self.retry: asyncio.TimerHandle | None = None
+        self.closed = False
 
     async def open(self) -> None:
-        """:raises OSError: if the address cannot be had"""
-        if self.listen is not None:
-            await self.runtime.loop.create_datagram_endpoint(lambda: self, local_addr=self.listen)
+        """Listen at the address of `peer_listen`; where it cannot be had, go on unheard and try again.
+
+        Danger: during an upgrade the older process holds the address. Both bind it with SO_REUSEPORT, and
+        the kernel gives each some of the datagrams until the older ends; an older process without that
+        option keeps it alone, and exiting on it would crash the ingress.
+        """
+        if self.listen is None or self.closed:
+            return
+        try:
+            await self.runtime.loop.create_datagram_endpoint(
+                lambda: self, local_addr=self.listen, reuse_port=True
+            )
+        except OSError as err:
+            log.warning("peers unheard for now: %s", err)
+            self.retry = self.runtime.loop.call_later(RETRY_S, self.open_again)
+
+    def open_again(self) -> None:
+        self.retry = None
+        self.runtime.loop.create_task(self.open())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are of classes of their own.
@@ -77,5 +99,8 @@
                 self.transport.sendto(effect.data, address)
 
     def close(self) -> None:
+        self.closed = True
+        if self.retry is not None:
+            self.retry.cancel()
         if self.transport is not None:
             self.transport.close()
