Answer on the second address: ready, figures, exclude and include of share servers

net/console.py reads one call a connection with its own bound (32 callers, 0.8 s a call, head 4 KiB, body 1 KiB) apart from the clients' door; bad calls get a 4xx and one reason. Figures come from the reducer's Tally (passed, dropped, bad_gateway by class, attempts written whole) and its open commands. Exclusions are decided in fleet/maintenance.py, free of I/O: an excluded instance is shown to the module as draining whatever the list says, two excludes need one include, an unknown id gets a no, an include shows it started now so the cold budget holds. They are handed to the next process through TMPDIR (net/handover.py: versioned, written whole; a torn or foreign file is ignored with one log line).

--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -252,6 +252,8 @@
         await node.instances.close()
         await node.counter.close()
         node.peers.close()
+        if node.console is not None:
+            await node.console.close()
 
 
 @asynccontextmanager
--- a/vetchusher/net/effects.py
+++ b/vetchusher/net/effects.py
@@ -75,6 +75,15 @@
     pass
 
 
+@dataclass(slots=True)
+class MaintenanceAsked:
+    """An operator's call: take an instance out of service (`exclude`) or let it back in."""
+
+    call: int
+    worker: int
+    exclude: bool
+
+
 Event = (
     CommandArrived
     | AttemptOver
@@ -85,6 +94,7 @@
     | PeerSpoke
     | CounterReplied
     | StopAsked
+    | MaintenanceAsked
 )
 
 
@@ -147,4 +157,31 @@
     facts: dict[str, object] = field(default_factory=dict)
 
 
-Effect = StartAttempt | AbandonAttempt | Serve | Nack | Failure | WakeAt | CallCounter | TellPeer | WriteLog
+@dataclass(slots=True)
+class Answered:
+    """The yes or no to an operator's call."""
+
+    call: int
+    yes: bool
+
+
+@dataclass(slots=True)
+class KeepExclusions:
+    """Keep the instances excluded by hand where a process that follows this one finds them."""
+
+    workers: tuple[int, ...]
+
+
+Effect = (
+    StartAttempt
+    | AbandonAttempt
+    | Serve
+    | Nack
+    | Failure
+    | WakeAt
+    | CallCounter
+    | TellPeer
+    | WriteLog
+    | Answered
+    | KeepExclusions
+)
--- a/vetchusher/net/ingress.py
+++ b/vetchusher/net/ingress.py
@@ -11,7 +11,9 @@
 from vetchusher.policy import AdmissionPolicy
 
 from . import effects as fx
+from . import handover
 from .config import Config, ConfigError, load
+from .console import Console
 from .counter import CounterCalls
 from .instances import Instances
 from .name_table import NameTable
@@ -36,7 +38,10 @@
         self.path = path  # where the configuration is read again
         self.loop = loop
         settings, bounds = config.settings, config.bounds
-        reducer = Reducer(AdmissionPolicy(settings, config.seed, tuning), settings, bounds.commands)
+        # Exclusions come only by the second address; a process before this one may have left some.
+        self.kept = handover.place(config.name) if config.console else None
+        policy = AdmissionPolicy(settings, config.seed, tuning)
+        reducer = Reducer(policy, settings, bounds.commands, handover.take(self.kept))
         self.runtime = Runtime(loop, reducer)
         self.clients = ServiceClients(self.runtime, CommandReader(settings), bounds.clients)
         rng = random.Random(config.seed + 1)  # apart from the module's own draws
@@ -49,8 +54,22 @@
             self.runtime, config.peer_listen, config.peers, config.peers_all, settings.peer_in_per_s
         )
         self.runtime.attach(self.clients, self.instances, self.counter, self.peers)
+        self.console: Console | None = None
+        if config.console is not None:
+            self.console = Console(self.runtime, self.gauges)
+            self.runtime.carriers[fx.Answered] = self.console.answered
+            self.runtime.carriers[fx.KeepExclusions] = lambda e: handover.keep(self.kept, e.workers)
         self.stop = asyncio.Event()
 
+    def gauges(self) -> dict[str, int]:
+        """What holds now, for the second address."""
+        reducer = self.runtime.reducer
+        return {
+            "in_progress": reducer.open_commands(),
+            "known_share_servers": len(self.names.addresses),
+            "skipped_share_servers": reducer.skipped(),
+        }
+
     def names_changed(self) -> None:
         self.instances.names_changed()
 
@@ -69,6 +88,8 @@
         log.info("reloaded: discovery %s, counter %s", new.discovery, new.counter)
 
     async def start(self) -> None:
+        if self.console is not None and self.config.console is not None:
+            await self.console.open(*self.config.console)
         await self.peers.open()
         self.clients.door.open(*self.config.listen, self.config.socket_fd)
         self.names.start(self.config.known)
@@ -97,4 +118,6 @@
         await self.instances.close()
         await self.counter.close()
         self.peers.close()
+        if self.console is not None:
+            await self.console.close()
         log.info("%s ends", self.config.name)
--- a/vetchusher/net/reducer.py
+++ b/vetchusher/net/reducer.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from vetchusher import interface as api
+from vetchusher.fleet.maintenance import Exclusions
 from vetchusher.policy import AdmissionPolicy
 
 from . import effects as fx
@@ -23,13 +24,34 @@
     """One command from its arrival until it is answered and its last attempt has ended."""
 
     expires_at: int
+    class_id: int = 0
     attempts: int = 0
     out: set[int] = field(default_factory=set)
     answered: bool = False
 
 
+@dataclass(slots=True)
+class Tally:
+    """What the ingress did since its start, counted where it happens: one list an outcome, by class."""
+
+    passed: list[int]
+    dropped: list[int]
+    failed: list[int]
+    tries: int = 0  # attempts written whole: all but those that never got their bytes out
+
+    @classmethod
+    def of(cls, classes: int) -> Tally:
+        return cls([0] * classes, [0] * classes, [0] * classes)
+
+
 class Reducer:
-    def __init__(self, policy: AdmissionPolicy, settings: api.Settings, most_commands: int) -> None:
+    def __init__(
+        self,
+        policy: AdmissionPolicy,
+        settings: api.Settings,
+        most_commands: int,
+        excluded: frozenset[int] = frozenset(),
+    ) -> None:
         self.policy = policy
         self.settings = settings
         self.most_commands = most_commands
@@ -38,6 +60,16 @@
         self.read = False
         self.stopping = False
         self.moot: list[api.AttemptEnded] = []
+        self.tally = Tally.of(len(settings.classes))
+        self.exclusions = Exclusions(excluded)
+
+    def skipped(self) -> int:
+        """Listed instances avoided now: excluded by hand, or resting by the module's choice."""
+        return self.exclusions.skipped() + self.policy.fleet.resting
+
+    def open_commands(self) -> int:
+        """Commands taken and not yet answered."""
+        return sum(not command.answered for command in self.commands.values())
 
     @property
     def ready(self) -> bool:
@@ -63,22 +95,39 @@
         elif isinstance(event, fx.ClientLeft):
             self.client_left(now, event.command, done)
         elif isinstance(event, fx.NamesChanged):
-            self.decide(now, event.change, done)
-            ready = any(e.state == api.WorkerState.READY for e in event.change.entries)
+            change = self.exclusions.mask(event.change)
+            self.decide(now, change, done)
+            ready = any(e.state == api.WorkerState.READY for e in change.entries)
             self.named = self.named or ready
+        elif isinstance(event, fx.MaintenanceAsked):
+            self.maintain(now, event, done)
         elif isinstance(event, fx.NamesRead):
             self.read = True
         elif isinstance(event, fx.StopAsked):
             self.stopping = True
         return done
 
+    def maintain(self, now: int, event: fx.MaintenanceAsked, done: list[fx.Effect]) -> None:
+        """An exclusion outranks the list until its include; an id that no list has named gets a no."""
+        if event.exclude:
+            change = self.exclusions.exclude(event.worker)
+        else:
+            change = self.exclusions.include(event.worker, now)
+        done.append(fx.Answered(event.call, change is not None))
+        if change is None:
+            return
+        if change.entries:
+            self.decide(now, change, done)
+        done.append(fx.KeepExclusions(tuple(sorted(self.exclusions.excluded))))
+
     def arrived(self, now: int, event: fx.CommandArrived, done: list[fx.Effect]) -> None:
         # No attempt has been made, so a nack is true for every class.
         if not self.named or len(self.commands) >= self.most_commands:
             wait = min(NACK_WAIT_US, self.settings.max_retry_after) * self.settings.retry_after
+            self.tally.dropped[event.class_id] += 1
             done.append(fx.Nack(event.command, wait))
             return
-        self.commands[event.command] = Command(event.expires_at)
+        self.commands[event.command] = Command(event.expires_at, event.class_id)
         told = api.RequestArrived(
             event.command,
             event.class_id,
@@ -98,8 +147,10 @@
         if command is None or event.attempt not in command.out:
             return  # its one outcome has been told
         command.out.discard(event.attempt)
+        self.tally.tries += event.outcome != api.Outcome.CONNECT_FAILED
         if event.outcome == api.Outcome.OK and not command.answered:
             command.answered = True
+            self.tally.passed[command.class_id] += 1
             done.append(fx.Serve(event.command, event.answer))
         told = api.AttemptEnded(
             event.command, event.attempt, event.instance, event.outcome, event.latency, command.answered
@@ -126,6 +177,7 @@
             return
         if not command.answered:
             command.answered = True
+            self.tally.failed[command.class_id] += 1
             done.append(fx.Failure(number))
         done.extend(fx.AbandonAttempt(number, attempt) for attempt in sorted(command.out))
         self.forget(number)
@@ -164,8 +216,10 @@
                     command.answered = True
                     if isinstance(action, api.Refuse):
                         wait = min(action.retry_after, self.settings.max_retry_after)
+                        self.tally.dropped[command.class_id] += 1
                         done.append(fx.Nack(action.request, wait))
                     else:
+                        self.tally.failed[command.class_id] += 1
                         done.append(fx.Failure(action.request))
                     self.forget(action.request)
             elif isinstance(action, api.Cancel):
