Wait for answers written in pieces while pieces come, not 60 ms for the whole

Probe: a share server writing a 1000-byte answer in four pieces 50 ms apart got 502 three times of three (close-period): instances.py gave any begun answer 60 ms in all (ANSWER_US), and links.py told the attempt only of the first piece, so each slow answer became a reset, failures in a row ejected the server, and shedding refused. A 200 kB answer also gets 502 (over 64 KiB, read_body gives up): left for streaming.

Now every piece tells the attempt; it is given up after a silence of a quarter of the shortest aim (from the settings), and at its deadline at the latest.

--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from net_helpers import OK, PERIOD, READ, answer, ask, free_port, run, stage, until
+from net_helpers import OK, PERIOD, READ, answer, ask, free_port, run, stage
 
 from vetchusher import interface as api
 from vetchusher.fleet.maintenance import Exclusions
--- a/vetchusher/net/instances.py
+++ b/vetchusher/net/instances.py
@@ -22,7 +22,9 @@
 log = logging.getLogger("vetchusher")
 
 IDLE_PART = 0.7  # of the instances' idle limit: a request written near the limit would end as a reset
-ANSWER_US = 60_000  # an answer that has begun comes whole within this: instances write it in one go
+# Of the shortest aim: an answer that has begun and then stays silent this long is given up. Peers write
+# in pieces, slowly: what counts is the silence between two pieces, not the time of the whole.
+ANSWER_GAP_PART = 0.25
 CONNECT_PART = 0.3  # of the shortest aim: within one, a connection's first packet is not sent again anyway
 
 
@@ -49,6 +51,7 @@
     begun: bool = False
     link: Link | None = None
     stalled: bool = False  # its answer has begun and not ended
+    heard_at: int = 0  # when the last piece of its answer came (us)
 
     def answering(self) -> None:
         self.owner.answering(self)
@@ -68,7 +71,9 @@
         self.address = address
         self.attempts: dict[tuple[int, int], Attempt] = {}
         idle_us = settings.connection_idle * IDLE_PART
-        connect_us = min(settings.connect_limit, int(CONNECT_PART * min(c.aim for c in settings.classes)))
+        shortest_aim = min(c.aim for c in settings.classes)
+        connect_us = min(settings.connect_limit, int(CONNECT_PART * shortest_aim))
+        self.answer_gap = int(ANSWER_GAP_PART * shortest_aim)
         self.session = open_session(connections, idle_us, connect_us, self.is_there)
 
     def is_there(self, instance: int) -> bool:
@@ -95,28 +100,33 @@
 
     def answering(self, attempt: Attempt) -> None:
         """Danger: an answer whose end never comes would hold its command until the client has left."""
-        if attempt.expiry is None or attempt.stalled:
+        if attempt.expiry is None:
             return
-        attempt.stalled = True
-        attempt.expiry.cancel()
-        due_at = min(attempt.expires_at, self.runtime.clock.now() + ANSWER_US)
+        attempt.heard_at = self.runtime.clock.now()
+        if not attempt.stalled:
+            attempt.stalled = True
+            self.wait_for_piece(attempt)
+
+    def wait_for_piece(self, attempt: Attempt) -> None:
+        """Give the answer up when no piece came for the gap, at the attempt's deadline at the latest."""
+        if attempt.expiry is not None:
+            attempt.expiry.cancel()
+        due_at = min(attempt.expires_at, attempt.heard_at + self.answer_gap)
         attempt.expiry = self.runtime.loop.call_at(self.runtime.clock.on_loop(due_at), self.expire, attempt)
 
     def expire(self, attempt: Attempt) -> None:
         # Without a connection it never ran; called a time-out, a command could not be refused for it.
         link = attempt.link
         now = self.runtime.clock.now()
-        if (
-            attempt.stalled
-            and now < attempt.expires_at
-            and link
-            and link.transport
-            and unread(link.transport)
-        ):
-            # Danger: after a stall of this process its timers run before its sockets are read.
-            attempt.stalled = False
-            self.answering(attempt)
-            return
+        if attempt.stalled and now < attempt.expires_at:
+            if now < attempt.heard_at + self.answer_gap:
+                self.wait_for_piece(attempt)  # a piece came since the timer was set
+                return
+            if link and link.transport and unread(link.transport):
+                # Danger: after a stall of this process its timers run before its sockets are read.
+                attempt.heard_at = now
+                self.wait_for_piece(attempt)
+                return
         if not attempt.begun:
             outcome = api.Outcome.CONNECT_FAILED
         else:
--- a/vetchusher/net/links.py
+++ b/vetchusher/net/links.py
@@ -45,7 +45,7 @@
         """To whom the connection leads: it serves nobody else."""
 
     def answering(self) -> None:
-        """An answer has begun, and its end has not come with it."""
+        """A piece of an answer has come, and its end has not come with it."""
 
 
 sending: ContextVar[Sending] = ContextVar("sending")  # of the running task
@@ -119,7 +119,7 @@
             if len(data) > MOST_HEAD or b"HTTP/1."[: len(data)] != data[:7]:
                 super().data_received(data)  # the parser turns it down, or would wait for its end for good
                 self.surplus()
-            elif data and not self.head and self.waiting is not None:
+            elif data and self.waiting is not None:
                 self.waiting.answering()
             self.head = data
             return
@@ -144,8 +144,8 @@
             if len(data) > len(mine):
                 self.force_close()  # before the parser's end of the answer gives the connection back
         super().data_received(head + mine)
-        if head and not whole and call is not None:
-            call.answering()
+        if not whole and call is not None:
+            call.answering()  # a piece came: the answer is still under way
 
     def surplus(self) -> None:
         """Bytes beyond the answer: nothing that this connection still brings can be told from them."""
