Stream good answers over 64 KiB to the client as they come

A good answer with a length over 64 KiB (and up to 64 MiB: a 3 GB claim stays spoilt) is now an OK outcome holding a Streamed answer: its response and connection pass to ServiceClients, which writes the head and then each piece as it comes, paced by the client's reading (aiohttp's flow control on both sides). A silence of the answer gap cuts it: the connection is aborted, so the client finds fewer bytes than its length. The Streamed answer is given back in respond's finally, or at once where nobody is left to take it.

--- a/vetchusher/net/instances.py
+++ b/vetchusher/net/instances.py
@@ -15,7 +15,18 @@
 from vetchusher import interface as api
 
 from . import effects as fx
-from .links import Link, Links, NeverSent, open_session, read_body, sending, target_url, unread
+from .links import (
+    Link,
+    Links,
+    NeverSent,
+    Streamed,
+    open_session,
+    read_body,
+    sending,
+    stream_of,
+    target_url,
+    unread,
+)
 from .protocol import address_text, attempt_outcome, seconds_text
 from .runtime import Runtime
 
@@ -144,6 +155,7 @@
             return
         if attempt.expiry is not None:
             attempt.expiry.cancel()
+            attempt.expiry = None  # pieces of a streamed answer still come, and no longer count here
         if attempt.task is not None and attempt.task is not asyncio.current_task():
             attempt.task.cancel()
         latency = self.runtime.clock.now() - attempt.sent_at
@@ -152,7 +164,7 @@
         )
 
     async def run(self, attempt: Attempt, payload: Payload, address: int) -> None:
-        answer: bytes | None = None
+        answer: bytes | Streamed | None = None
         sending.set(attempt)
         try:
             headers = payload.headers.copy()
@@ -165,7 +177,7 @@
                 allow_redirects=False,
             )
             outcome = attempt_outcome(response.status, response.headers)
-            answer = await read_body(response)
+            answer = stream_of(response, self.answer_gap / 1e6) or await read_body(response)
             if answer is None and outcome == api.Outcome.OK:
                 outcome = api.Outcome.RESET
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, NeverSent):
--- a/vetchusher/net/links.py
+++ b/vetchusher/net/links.py
@@ -20,6 +20,9 @@
 from .protocol import MOST_BODY
 
 MOST_HEAD = 16 * 1024
+# Answers reach 32 MB on the operators' days; one that claims far more is spoilt (a 3 GB claim that keeps
+# coming), and streaming it would hold a client and a connection for nothing.
+MOST_STREAMED = 64 * 1024 * 1024
 REST_S = 0.03  # between an answer and the next request: what its sender still does comes by then
 TRUST_PART, TRUST_LEAST_S = 0.8, 0.06  # of the idle time at which a connection was found dead; least kept
 TRUST_AGAIN_S = 20.0  # in this time twice as long an idle time is trusted again
@@ -268,6 +271,33 @@
     return URL.build(scheme="http", authority=address, path=target, encoded=True)
 
 
+class Streamed:
+    """A good answer too long to hold: it is passed on to the service client as its pieces come.
+
+    Owns the instance's response, and with it the connection, until `close`; whoever takes it gives it back.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse, gap_s: float) -> None:
+        self.response = response
+        self.gap_s = gap_s  # a silence between two pieces that gives the rest up
+        self.length = response.content_length or 0
+
+    def close(self) -> None:
+        """Give the connection back if the whole answer was read, else close it; may be called again."""
+        if self.response.content.at_eof():
+            self.response.release()
+        else:
+            self.response.close()
+
+
+def stream_of(response: aiohttp.ClientResponse, gap_s: float) -> Streamed | None:
+    """The answer to pass on as it comes: a good one too long to hold, with its length told."""
+    length = response.content_length
+    if length is not None and MOST_BODY < length <= MOST_STREAMED and response.status == 200:
+        return Streamed(response, gap_s)
+    return None
+
+
 async def read_body(response: aiohttp.ClientResponse) -> bytes | None:
     """The whole body; nothing if it is too long or its end cannot be told from a broken connection."""
     length = response.content_length
--- a/vetchusher/net/server.py
+++ b/vetchusher/net/server.py
@@ -7,11 +7,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+import aiohttp
 from aiohttp import web
 
 from . import effects as fx
 from .door import FIRST_S, ClientLink, Door
 from .instances import Payload
+from .links import Streamed
 from .protocol import MOST_BODY, CommandReader, Rejected, seconds_text
 from .runtime import Runtime
 
@@ -26,7 +28,7 @@
     """A command that was taken: its payload and the place of its answer."""
 
     payload: Payload
-    answer: asyncio.Future[web.Response]
+    answer: asyncio.Future[web.Response | Streamed]
 
 
 class ServiceClients:
@@ -60,7 +62,7 @@
             response.force_close()
         return response
 
-    async def respond(self, request: web.BaseRequest, link: ClientLink) -> web.Response:
+    async def respond(self, request: web.BaseRequest, link: ClientLink) -> web.StreamResponse:
         target = request.raw_path
         if target == "/health/ready":
             return web.Response(status=200 if self.runtime.reducer.ready else 503)
@@ -101,13 +103,37 @@
                     head.flags,
                 )
             )
-            return await taken.answer
+            answer = await taken.answer
+            if isinstance(answer, Streamed):
+                return await self.pipe(request, link, answer)
+            return answer
         except asyncio.CancelledError:
             self.runtime.feed(fx.ClientLeft(number))
             raise
         finally:
             del self.taken[number]
             self.ids.discard(headers["Request-Id"])
+            if taken.answer.done() and isinstance(streamed := taken.answer.result(), Streamed):
+                streamed.close()
+
+    async def pipe(self, request: web.BaseRequest, link: ClientLink, answer: Streamed) -> web.StreamResponse:
+        """Pass a long answer on as it comes, in bounded memory: the client's reading paces the instance's.
+
+        Danger: an answer cut short must show as such; the connection is closed, and the client finds fewer
+        bytes than its length says.
+        """
+        out = web.StreamResponse(status=200)
+        out.content_length = answer.length
+        if self.runtime.reducer.stopping:
+            out.force_close()
+        await out.prepare(request)
+        try:
+            while piece := await asyncio.wait_for(answer.response.content.readany(), answer.gap_s):
+                await out.write(piece)
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            out.force_close()
+            link.wire.abort()
+        return out
 
     async def body(self, request: web.BaseRequest, link: ClientLink, due_at: float) -> bytes:
         if not request.can_read_body:
@@ -127,7 +153,7 @@
             raise Rejected(408, "the body did not come in time") from None
 
     def serve(self, command: int, answer: object) -> None:
-        self.give(command, web.Response(body=answer))
+        self.give(command, answer if isinstance(answer, Streamed) else web.Response(body=answer))
 
     def nack(self, command: int, retry_after: int) -> None:
         headers = {"Retry-After": seconds_text(retry_after)} if retry_after > 0 else None
@@ -136,7 +162,9 @@
     def fail(self, command: int) -> None:
         self.give(command, web.Response(status=502))
 
-    def give(self, command: int, response: web.Response) -> None:
+    def give(self, command: int, response: web.Response | Streamed) -> None:
         taken = self.taken.get(command)
         if taken is not None and not taken.answer.done():
             taken.answer.set_result(response)
+        elif isinstance(response, Streamed):
+            response.close()  # nobody is left to take it
