--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -25,20 +25,20 @@
         writer.close()
 
 
+def console_at():
+    """A free port for the second address, and the configuration's words for it."""
+    port = free_port()
+    return port, {"console": f"127.0.0.1:{port}"}
+
+
 def figures(body):
     return {line.split(":")[0]: int(line.split(":")[1].split("|")[0]) for line in body.decode().split()}
 
 
 def test_figures_count_what_clients_were_answered():
     async def scene():
-        console = free_port()
-        async with stage(
-            lambda a: OK, lambda a: answer(b"x", 500), told={"console": f"127.0.0.1:{console}"}
-        ) as (
-            _,
-            port,
-            _servers,
-        ):
+        console, told = console_at()
+        async with stage(lambda a: OK, lambda a: answer(b"x", 500), told=told) as (_, port, _servers):
             assert (await call(console, "GET", "/api/ready"))[0] == 200
             statuses = [(await ask(port, PERIOD))[0] for _ in range(12)]
             _, body = await call(console, "GET", "/api/telemetry")
@@ -67,8 +67,8 @@
 )
 def test_bad_calls_get_a_4xx_with_a_reason(method, path, body, status):
     async def scene():
-        console = free_port()
-        async with stage(lambda a: OK, told={"console": f"127.0.0.1:{console}"}):
+        console, told = console_at()
+        async with stage(lambda a: OK, told=told):
             got, reason = await call(console, method, path, body)
             assert got == status and reason.strip()
             assert (await call(console, "GET", "/api/ready"))[0] == 200  # nothing broke
@@ -78,8 +78,8 @@
 
 def test_callers_that_send_nothing_do_not_starve_the_others():
     async def scene():
-        console = free_port()
-        async with stage(lambda a: OK, told={"console": f"127.0.0.1:{console}"}):
+        console, told = console_at()
+        async with stage(lambda a: OK, told=told):
             mute = [await asyncio.open_connection("127.0.0.1", console) for _ in range(100)]
             assert (await call(console, "GET", "/api/ready"))[0] == 200
             for _, writer in mute:
@@ -90,12 +90,8 @@
 
 def test_nothing_new_goes_to_an_excluded_server_until_it_is_included():
     async def scene():
-        console = free_port()
-        async with stage(lambda a: OK, lambda a: OK, told={"console": f"127.0.0.1:{console}"}) as (
-            node,
-            port,
-            servers,
-        ):
+        console, told = console_at()
+        async with stage(lambda a: OK, lambda a: OK, told=told) as (node, port, servers):
             assert (await call(console, "PUT", "/api/exclude", b'{"name":"s-0"}'))[0] == 200
             assert (await call(console, "PUT", "/api/exclude", b'{"name":"s-0"}'))[0] == 200
             before = len(servers[0].asked)
