Give a client's body as long as its length needs at 64 kB a second, past a head's 2.2 s

Seen: the operators' clients may take 2 s for a head and send a body at 64 kB a second. Probe: a head written over 1.8 s, then 60 kB at 64 kB/s: the ingress closed the connection while the body was still coming. server.py gave head and body together 2.2 s from the first byte (min(link.since + FIRST_S, patience)), so any slow head left the body almost nothing. Now the body's end may come FIRST_S plus its length at the slowest pace after the first byte, never after the command's own deadline. Probe after: 200. Test: a head over 1.7 s and 64 kB at 100 kB/s is served (fails without the mend).

--- a/vetchusher/net/server.py
+++ b/vetchusher/net/server.py
@@ -21,6 +21,7 @@
 
 # The client counts its deadline from when it sent the command, and an answer needs its way back.
 ANSWER_MARGIN_US = 8_000
+SLOWEST_BODY_BPS = 64_000  # bytes a second: the slowest pace at which the operators' clients send a body
 
 
 @dataclass(slots=True)
@@ -72,7 +73,10 @@
         try:
             head = self.reader.read(request.method, target, request.headers)
             patience = self.runtime.clock.on_loop(arrived_at + head.time_left)
-            body = await self.body(request, link, min(link.since + FIRST_S, patience))
+            # A client may take 2 s for a head and send its body at the slowest pace: the longer the body,
+            # the later its end may come, never after the command's own deadline.
+            whole_by = link.since + FIRST_S + (request.content_length or 0) / SLOWEST_BODY_BPS
+            body = await self.body(request, link, min(whole_by, patience))
             if request.headers["Request-Id"] in self.ids:
                 # Danger: instances tell commands apart by this id alone.
                 raise Rejected(409, "a command with this Request-Id is open")
