--- a/vetchusher/net/peers.py
+++ b/vetchusher/net/peers.py
@@ -42,6 +42,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.dropped = 0
         self.retry: asyncio.TimerHandle | None = None
+        self.reopening: asyncio.Task[None] | None = None
         self.closed = False
 
     async def open(self) -> None:
@@ -63,7 +64,7 @@
 
     def open_again(self) -> None:
         self.retry = None
-        self.runtime.loop.create_task(self.open())
+        self.reopening = self.runtime.loop.create_task(self.open())  # held, so that it is not collected
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are of classes of their own.
