Read the second address's calls from one table of paths and methods

Read again: Console.answer branched on the path twice, once for the method allowed and once for the call, and read runtime.reducer twice.

--- a/vetchusher/net/console.py
+++ b/vetchusher/net/console.py
@@ -26,6 +26,7 @@
 MOST_HEAD = 4096  # bytes of a call's head
 MOST_BODY = 1024  # bytes of a call's body: a name and its braces
 PREFIX = "edge_node"
+CALLS = {"/api/ready": "GET", "/api/telemetry": "GET", "/api/exclude": "PUT", "/api/include": "PUT"}
 
 
 class CallError(Exception):
@@ -152,21 +153,16 @@
             return err.status, f"{err}\n".encode()
 
     def answer(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
-        reducer = self.runtime.reducer
-        if path == "/api/ready":
-            allowed = "GET"
-        elif path == "/api/telemetry":
-            allowed = "GET"
-        elif path in ("/api/exclude", "/api/include"):
-            allowed = "PUT"
-        else:
+        allowed = CALLS.get(path)
+        if allowed is None:
             raise CallError(404, f"no such call: {path[:60]}")
         if method != allowed:
             raise CallError(405, f"{path} is called with {allowed}")
+        reducer = self.runtime.reducer
         if path == "/api/ready":
             return (200, b"ready\n") if reducer.ready else (503, b"not ready\n")
         if path == "/api/telemetry":
-            return 200, telemetry(reducer.tally, self.runtime.reducer.settings.classes, self.gauges())
+            return 200, telemetry(reducer.tally, reducer.settings.classes, self.gauges())
         name = read_name(body)
         self.calls += 1
         call = self.calls
