Tell the module the true units that answers settle (Api-Charge); they were dropped

Where units are settled afterwards, a request names a guess and its first good answer the true units.

Instances.run reads it where the settings settle units, bounded by the most units a request may count; the reducer tells it once a command, from a good answer only (a second copy's answer tells the same units again). Rejected: reading it in the reducer from the answer object, which passes through unopened by design. Tests: figures that can and cannot be read, once a command whatever the order, and the counter's total on sockets (fails without the change: 2 units counted of 7).

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -83,6 +83,14 @@
     assert protocol.read_total(status, body) == read
 
 
+@pytest.mark.parametrize(
+    ("told", "units"),
+    [("3", 3.0), ("0.5", 0.5), ("8", 8.0), ("8.1", 0.0), ("0", 0.0), ("-1", 0.0), ("many", 0.0), ("", 0.0)],
+)
+def test_true_units_that_answers_tell(told, units):
+    assert protocol.settled_units({"Api-Charge": told}, 8.0) == units
+
+
 @pytest.mark.parametrize(
     ("call", "path"),
     [
@@ -248,6 +256,23 @@
     assert set(reducer.commands) <= {1}
 
 
+@pytest.mark.parametrize(
+    ("ended", "told"),
+    [
+        ([(0, Outcome.OK, 6.0), (1, Outcome.OK, 6.0)], [6.0, 0.0]),  # a second copy tells them again
+        ([(0, Outcome.ERROR, 6.0), (1, Outcome.OK, 2.5)], [0.0, 2.5]),  # only a good answer tells them
+        ([(1, Outcome.OK, 0.0), (0, Outcome.OK, 3.0)], [0.0, 3.0]),
+    ],
+)
+def test_true_units_reach_the_module_once(ended, told):
+    script = Script([], [SEND, AGAIN])
+    reducer = Reducer(script, SETTINGS, 1)
+    events = [fx.AttemptOver(1, n, 5 + n, outcome, 10, "a", units) for n, outcome, units in ended]
+    for event in (NAMES, COMMAND, *events):
+        reducer.apply(T, event)
+    assert [e.settled for e in script.events if isinstance(e, api.AttemptEnded)] == told
+
+
 def test_reducer_ends_every_command_it_served():
     reducer = Reducer(Script([], [SEND]), SETTINGS, 1)
     for event in (NAMES, COMMAND, GOOD):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -390,6 +390,21 @@
     run(scene())
 
 
+@pytest.mark.parametrize(("post_paid", "counted"), [(True, 7.0), (False, 2.0)])
+def test_units_settled_by_the_answer_reach_the_counter(post_paid, counted):
+    async def scene():
+        totals = {}
+        extra = {"counter": True, "count_limit": 50000, "units_top": 8, "post_paid": post_paid}
+        script = answer(b"whole body", Api_Charge="7")
+        async with stage(lambda a: script, counter=counting(totals), extra=extra) as (node, port, _):
+            assert (await ask(port, Api_Terms="units=2,spread=2,first=0"))[0] == 200
+            await until(lambda: sum(totals.values()) >= counted)
+            who = next(iter(node.runtime.reducer.policy.quota.customers.values()))
+            assert sum(totals.values()) == counted == who.cur.count() + who.prev.count()
+
+    run(scene())
+
+
 def test_instance_that_moves_is_reached_at_its_new_address():
     async def scene():
         async with Peer(lambda a: OK).open() as old, Peer(lambda a: OK).open() as new:
--- a/vetchusher/interface.py
+++ b/vetchusher/interface.py
@@ -164,7 +164,7 @@
     outcome: int
     latency: int
     request_over: bool
-    settled: int = 0  # 0: none told
+    settled: float = 0  # units that the request really counted; 0: none told
     metered: int = 0  # 0: none told
     load: tuple[float, ...] = ()
 
--- a/vetchusher/net/effects.py
+++ b/vetchusher/net/effects.py
@@ -32,6 +32,7 @@
     outcome: int
     latency: int
     answer: object = None  # passed on to the service client unopened
+    settled: float = 0.0  # units that the command really counted, if the answer told; 0: it did not
 
 
 @dataclass(slots=True)
--- a/vetchusher/net/instances.py
+++ b/vetchusher/net/instances.py
@@ -27,7 +27,7 @@
     target_url,
     unread,
 )
-from .protocol import address_text, attempt_outcome, seconds_text
+from .protocol import address_text, attempt_outcome, seconds_text, settled_units
 from .runtime import Runtime
 
 log = logging.getLogger("vetchusher")
@@ -84,6 +84,8 @@
         idle_us = settings.connection_idle * IDLE_PART
         shortest_aim = min(c.aim for c in settings.classes)
         connect_us = min(settings.connect_limit, int(CONNECT_PART * shortest_aim))
+        # Units are told by answers only where they are settled afterwards: elsewhere none is looked for.
+        self.most_settled = settings.most_units if settings.post_paid else 0.0
         self.answer_gap = int(ANSWER_GAP_PART * shortest_aim)
         self.session = open_session(connections, idle_us, connect_us, self.is_there)
 
@@ -149,7 +151,7 @@
         if attempt is not None:
             self.finish(attempt, api.Outcome.CANCELLED)
 
-    def finish(self, attempt: Attempt, outcome: int, answer: object = None) -> None:
+    def finish(self, attempt: Attempt, outcome: int, answer: object = None, settled: float = 0.0) -> None:
         """The one place where an attempt ends.  Cancelling its task closes a connection still in use."""
         if self.attempts.pop((attempt.command, attempt.number), None) is None:
             return
@@ -160,11 +162,12 @@
             attempt.task.cancel()
         latency = self.runtime.clock.now() - attempt.sent_at
         self.runtime.feed(
-            fx.AttemptOver(attempt.command, attempt.number, attempt.holder, outcome, latency, answer)
+            fx.AttemptOver(attempt.command, attempt.number, attempt.holder, outcome, latency, answer, settled)
         )
 
     async def run(self, attempt: Attempt, payload: Payload, address: int) -> None:
         answer: bytes | Streamed | None = None
+        settled = 0.0
         sending.set(attempt)
         try:
             headers = payload.headers.copy()
@@ -180,6 +183,8 @@
             answer = stream_of(response, self.answer_gap / 1e6) or await read_body(response)
             if answer is None and outcome == api.Outcome.OK:
                 outcome = api.Outcome.RESET
+            elif self.most_settled and outcome == api.Outcome.OK:
+                settled = settled_units(response.headers, self.most_settled)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError, NeverSent):
             outcome = api.Outcome.CONNECT_FAILED
         except (aiohttp.ClientError, OSError):
@@ -187,7 +192,7 @@
         except Exception as err:
             log.warning("attempt failed: %s: %s", type(err).__name__, err)
             outcome = api.Outcome.RESET  # it may have run: nothing better is known
-        self.finish(attempt, outcome, answer)
+        self.finish(attempt, outcome, answer, settled)
 
     async def close(self) -> None:
         for attempt in list(self.attempts.values()):
--- a/vetchusher/net/protocol.py
+++ b/vetchusher/net/protocol.py
@@ -154,6 +154,16 @@
     return api.Outcome.ERROR
 
 
+def settled_units(headers: Mapping[str, str], most: float) -> float:
+    """The true units that a good answer tells (`Api-Charge`); 0 where it tells none that can be used.
+
+    :param most: units that a command counts at most: more than that is no figure to go by
+    """
+    text = headers.get("Api-Charge", "")
+    units = float(text) if _NUMBER.fullmatch(text) else 0.0
+    return units if units <= most else 0.0
+
+
 def counter_path(name: int, amount: float, lifetime: int) -> str:
     ttl = min(MOST_TTL_MS, max(1, lifetime // 1000))
     return f"/v1/count/{name}?add={amount:.10g}&ttl_ms={ttl}"
--- a/vetchusher/net/reducer.py
+++ b/vetchusher/net/reducer.py
@@ -28,6 +28,7 @@
     attempts: int = 0
     out: set[int] = field(default_factory=set)
     answered: bool = False
+    settled: bool = False  # its true units have been told to the module
 
 
 @dataclass(slots=True)
@@ -155,6 +156,9 @@
         told = api.AttemptEnded(
             event.command, event.attempt, event.instance, event.outcome, event.latency, command.answered
         )
+        if event.settled and event.outcome == api.Outcome.OK and not command.settled:
+            # Danger: a second copy's answer tells the units again; a quota counts them once.
+            command.settled, told.settled = True, event.settled
         known = self.decide(now, told, done)
         if not known or not (command.answered or command.out):
             # The module failed, or left the command with nobody at work on it.
