--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -42,7 +42,7 @@
 class Gate:
     def __init__(self, settings: api.Settings = SETTINGS, seed: int = 1, workers: int = 8, now: int = START):
         self.policy = AdmissionPolicy(settings, seed)
-        self.policy.fleet.shed = 0.0  # past its first seconds
+        self.policy.fleet.shedding.shed = 0.0  # past its first seconds
         self.now = now
         self.next_id = 1
         self.timers: list[tuple[int, int]] = []
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -239,7 +239,7 @@
     places = [f"127.0.0.1:{p}" for p in (port, discovery.port, counter.port)]
     read = config.parse(orjson.dumps(tree(*places, known, **changed) | (told or {})))
     node = Ingress(read, asyncio.get_running_loop(), str(path), tuning)
-    node.runtime.reducer.policy.fleet.shed = 0.0
+    node.runtime.reducer.policy.fleet.shedding.shed = 0.0
     await node.start()
     try:
         if ready:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -266,7 +266,7 @@
 
     def new(self, index, now=START):
         gate = Gate(replace(self.settings, index=index), now=now)
-        gate.policy.fleet.late = 0.0
+        gate.policy.fleet.shedding.late = 0.0
         return gate
 
     def exchange(self):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -58,11 +58,11 @@
 
 def test_free_excess_passes_uncounted_while_the_fleet_has_room():
     gate, service = known(plans=(replace(PLAN, over_worth=0.1, over_cost=0.0),))
-    gate.policy.fleet.late = 0.0
+    gate.policy.fleet.shedding.late = 0.0
     for _ in range(60):
         assert gate.passes()
         gate.end(gate.sends[-1])
-    gate.policy.fleet.late = 0.2
+    gate.policy.fleet.shedding.late = 0.2
     rid, acts = gate.ask()
     assert acts == [api.Refuse(rid)]
     gate.advance(SECOND)
@@ -175,9 +175,9 @@
 def test_unreadable_answer_counts_as_added_and_leaves_the_pace():
     gate, service = known()
     call = push(gate, service, 4)
-    pace = gate.policy.quota.pace
+    pace = gate.policy.quota.line.pace
     gate.count(call, outcome=Outcome.ERROR)
-    assert gate.policy.quota.pace == pace
+    assert gate.policy.quota.line.pace == pace
     gate.advance(SECOND)
     assert sum(c.amount for c in gate.calls) == 0.0
     gate.settle_reads()
@@ -186,7 +186,7 @@
 def scarce():
     """A gateway with no call to spare, and one customer near its quota behind a crowd that came once."""
     gate = Gate()
-    gate.policy.quota.pace = gate.policy.quota.tokens = 0.0
+    gate.policy.quota.line.pace = gate.policy.quota.line.tokens = 0.0
     for customer in range(100, 300):
         assert gate.passes(customer=customer)
         gate.end(gate.sends[-1])
@@ -199,7 +199,7 @@
 def test_scarce_calls_go_to_those_near_their_quota_first():
     gate = scarce()
     gate.advance(SECOND // 8)
-    gate.policy.quota.tokens = 1.0
+    gate.policy.quota.line.tokens = 1.0
     gate.advance(SECOND // 8)
     assert 8.0 in [c.amount for c in gate.calls]
 
@@ -209,7 +209,7 @@
     for _ in range(200):
         gate.advance(SECOND // 8)
     quota = gate.policy.quota
-    assert not gate.calls and len(quota.behind) == 0 and len(quota.customers) <= 1
+    assert not gate.calls and len(quota.line.behind) == 0 and len(quota.customers) <= 1
 
 
 def test_lost_counts_keep_the_floor_and_restore_only_own_units():
@@ -244,7 +244,7 @@
 def test_failed_counter_is_asked_less_and_trusted_again():
     gate, service = known()
     for _ in range(80):
-        gate.policy.quota.pace = min(gate.policy.quota.pace, 4.0)  # as behind many gateways
+        gate.policy.quota.line.pace = min(gate.policy.quota.line.pace, 4.0)  # as behind many gateways
         if gate.passes():
             gate.end(gate.sends[-1])
         gate.advance(SECOND // 4)
@@ -265,12 +265,13 @@
         gate.ask(customer=customer)
         gate.advance(10_000)
     span = 500 * 10_000 / SECOND  # no answer, so the pace stays what it was at first
-    assert len(gate.calls) <= 4 + span * gate.policy.quota.first_pace
+    assert len(gate.calls) <= 4 + span * gate.policy.quota.line.first_pace
     many = Gate(replace(SETTINGS, gateways=300))
     for customer in range(500):
         many.ask(customer=customer)
         many.advance(10_000)
-    assert 0 < len(many.calls) <= 4 + span * many.policy.quota.first_pace < 20  # well below one at a time
+    most = 4 + span * many.policy.quota.line.first_pace
+    assert 0 < len(many.calls) <= most < 20  # well below one at a time
 
 
 def test_idle_customers_are_dropped():
@@ -381,7 +382,7 @@
     for beyond, least, most in ((0.9, 5, 90), (0.0, 300, 300)):
         gate, passed = Gate(MANY, workers=40), 0
         quota = gate.policy.quota
-        quota.pace = quota.tokens = 0.0
+        quota.line.pace = quota.line.tokens = 0.0
         quota.beyond[0][0] = beyond
         for customer in range(300):
             gate.now += 100_000
@@ -435,5 +436,5 @@
         for call in list(gate.calls):
             gate.count(call, 100.0)
     assert quota.beyond[1][0] > 0.8 > 0.3 > quota.beyond[0][0]
-    quota.pace = quota.tokens = 0.0
+    quota.line.pace = quota.line.tokens = 0.0
     assert sum(gate.passes(customer=c, doors=100.0) for c in range(100, 130)) >= 15
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -314,7 +314,7 @@
 
 
 def shed(fleet, usage: float, n: int) -> int:
-    return sum(fleet.sheds(usage, i / n) for i in range(n))
+    return sum(fleet.shedding.sheds(usage, i / n) for i in range(n))
 
 
 def test_late_attempts_over_all_workers_shed_load_and_stop_when_the_jam_is_over():
@@ -323,12 +323,12 @@
     fleet = gate.policy.fleet
     for _ in range(10):
         gate.now += SECOND // 2
-        fleet.judge(gate.now, True)
+        fleet.shedding.judge(gate.now, True)
     assert shed(fleet, 1.0, 200) > 150
     assert shed(fleet, 0.0, 400) < shed(fleet, 1.0, 400)
     for _ in range(20):
         gate.now += SECOND // 2
-        fleet.judge(gate.now, False)
+        fleet.shedding.judge(gate.now, False)
     assert shed(fleet, 1.0, 200) == 0
 
 
@@ -337,7 +337,7 @@
     fleet = AdmissionPolicy(replace(SETTINGS, gateways=300), 1).fleet
     assert 20 < shed(fleet, 1.0, 200) < 100
     for i in range(8):
-        fleet.judge(START + i * SECOND // 2, False)
+        fleet.shedding.judge(START + i * SECOND // 2, False)
     assert shed(fleet, 1.0, 200) == 0
     assert shed(AdmissionPolicy(SETTINGS, 1).fleet, 1.0, 200) < 20
 
@@ -345,8 +345,8 @@
 def test_lost_answers_alone_are_no_jam():
     fleet = Gate().policy.fleet
     for i in range(400):
-        fleet.judge(START + i * 100_000, i % 4 == 0)  # a quarter never answered, the rest at once
-    assert fleet.shed < 0.05
+        fleet.shedding.judge(START + i * 100_000, i % 4 == 0)  # a quarter never answered, the rest at once
+    assert fleet.shedding.shed < 0.05
 
 
 def test_a_worker_slow_to_say_full_stays_in_use():
@@ -485,7 +485,7 @@
 def test_a_request_that_is_shed_anyway_waits_for_no_total():
     plan = replace(SETTINGS.plans[0], burst=20.0)
     gate = Gate(replace(SETTINGS, gateways=100, plans=(plan,)), workers=40)
-    gate.policy.fleet.late, gate.policy.fleet.shed = 1.0, 1.0
+    gate.policy.fleet.shedding.late, gate.policy.fleet.shedding.shed = 1.0, 1.0
     refused = 0
     for customer in range(100):
         calls = len(gate.calls)
@@ -499,7 +499,7 @@
 def test_a_refusal_in_a_jam_says_when_to_come_back():
     for told in (True, False):
         gate = Gate(replace(SETTINGS, retry_after=told, max_retry_after=SECOND))
-        gate.policy.fleet.late = gate.policy.fleet.shed = 1.0
+        gate.policy.fleet.shedding.late = gate.policy.fleet.shedding.shed = 1.0
         acts = [a for _ in range(50) for a in gate.ask(plan_id=1)[1] if isinstance(a, api.Refuse)]
         assert acts and all(a.retry_after == (SECOND // 10 if told else 0) for a in acts)
 
@@ -560,14 +560,14 @@
 def test_the_same_share_of_late_attempts_sheds_less_where_it_rests_on_few(pause):
     """Behind forty gateways each judges five attempts a second: three late ones of ten are no news."""
     fleet, rng = Gate().policy.fleet, random.Random(3)
-    fleet.shed, pushes, now = 0.0, 0.0, START
+    fleet.shedding.shed, pushes, now = 0.0, 0.0, START
     for number in range(4000):
         now += pause
-        fleet.judge(now, rng.random() < 0.3)
+        fleet.shedding.judge(now, rng.random() < 0.3)
         if number > 200:
-            pushes += fleet.sheds(1.0, rng.random())
+            pushes += fleet.shedding.sheds(1.0, rng.random())
     assert pushes / 3800 < 0.03
     for _ in range(100):  # a jam is still seen
         now += pause
-        fleet.judge(now, rng.random() < 0.9)
-    assert fleet.shed + fleet.excess > 0.4
+        fleet.shedding.judge(now, rng.random() < 0.9)
+    assert fleet.shedding.shed + fleet.shedding.excess > 0.4
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -164,7 +164,7 @@
     one of these counted as a sign of a jam, until three commands in four were shed."""
     gate = Gate(replace(MANY, may_cancel=True), workers=60)
     used(gate, 20)
-    gate.policy.fleet.late = 0.0
+    gate.policy.fleet.shedding.late = 0.0
     draining = {w.id for w in gate.policy.fleet.near[:8]}
     seen = Counter()
     for _ in range(200):
@@ -182,7 +182,7 @@
             )
     assert seen[False] >= 195
     assert seen[True] <= 8 * 9  # in 20 s, with rests of up to 8 s
-    assert gate.policy.fleet.shed == 0.0
+    assert gate.policy.fleet.shedding.shed == 0.0
 
 
 def test_a_jam_of_the_warm_ones_does_not_slow_down_the_cold_ones():
--- a/vetchusher/emulator/virtual.py
+++ b/vetchusher/emulator/virtual.py
@@ -120,7 +120,7 @@
         self.lives += 1
         seed = self.scene.seed * 1_000 + self.lives
         policy = AdmissionPolicy(self.settings(number), seed)
-        policy.fleet.shed = 0.0  # the careful first seconds are not the matter here
+        policy.fleet.shedding.shed = 0.0  # the careful first seconds are not the matter here
         spread = self.scene.clock_spread * number // max(1, self.scene.ingresses - 1)
         self.ingresses[number] = Ingress(number, policy, spread, self.lives)
         workers = [api.WorkerEntry(100 + i, api.WorkerState.READY) for i in range(10)]
--- a/vetchusher/fleet/__init__.py
+++ b/vetchusher/fleet/__init__.py
@@ -1,6 +1,7 @@
-"""Which instances an ingress uses where there are many of both.  Nothing here does I/O."""
+"""Which instances an ingress uses where there are many of both, and what it sheds.  Nothing here does I/O."""
 
 from . import slowstart
+from .shedding import SHED_SPAN, Shedding
 from .subset import holders, subset, turn
 
-__all__ = ["holders", "slowstart", "subset", "turn"]
+__all__ = ["SHED_SPAN", "Shedding", "holders", "slowstart", "subset", "turn"]
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -8,24 +8,17 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from dataclasses import dataclass, field
 from itertools import islice
-from math import sqrt
 
 from . import interface as api
-from .fleet import holders, slowstart, subset, turn
+from .fleet import SHED_SPAN, Shedding, holders, slowstart, subset, turn
 from .interface import Effect, FleetKind, Outcome, RequestClass, Scope, WorkerState
-from .limits import Limits, Tuning
+from .limits import SYNC_SLICES, SYNC_US, CallLine, Limits, Tuning, near
 from .state import Attempt, Customer, Kind, Logbook, Window, Worker, mix64, window_length
 
 # Tuned values: quota
-SYNC_US, SYNC_SLICES = 62_500, 2  # us between pushes of one customer, and parts they are spread over
 STALE_US = 400_000  # us a customer's own units may stay unconfirmed before its totals are doubted
-CALLS_FIRST = 24.0  # calls that all gateways together make in a call's time limit, at first
-CALLS_LEAST, CALLS_STEP = 0.5, 0.02  # calls a second at least; part of the first pace a good answer adds
-CALLS_CUT = 0.85  # factor per failed call: a crowded counter also works on calls nobody waits for
-CALLS_SLOW, CALLS_EASE = 0.4, 0.93  # of the call's time limit: a slower answer eases the pace by this factor
 THIN_UNITS, THIN_DOORS = 3.0, 3.0  # of the limit a door beyond these: with less own traffic tells nothing
 UNUSED_LEFT = 0.05  # of the burst: what must stay unused for the unused-quota exception
 PASS_COST, COUNTED_LEAST = 0.2, 0.3  # stake where excess costs nothing; least share that totals hold
@@ -33,7 +26,6 @@
 SHARE_GAIN, SHARE_LEAST = 0.3, 4.0  # newest sample of the share seen here; units below which it is chance
 LAST_READ_US = 110_000  # us after a window's end when all have pushed what they passed in it
 LOST_TOLERANCE = 1e-5  # relative: totals come back with seven digits
-KEEN_PART = 0.5  # of the limit: a customer here below this waits for calls behind those above
 NAME_SPARE_US, NAME_MOST_US = 2_000_000, 60_000_000  # us a name outlives its use; none is kept longer
 SWEPT = 8  # customers looked at each tick for idle ones: bounds memory under one-off crowds
 # Routing and health
@@ -55,19 +47,11 @@
 BUSY_CUT = 0.93  # busy share: a worker driven at full has no room for chance
 LIMIT_CUT, LIMIT_PAUSE_US = 0.7, 200_000  # factor of a cut, and us between two: one jam is one cut
 LATE_PART, PROMPT_PART = 0.3, 0.1  # of the aim: later is late; a full queue turns away sooner than this
-LATE_TARGET = 0.35  # share of late attempts, over all workers: more is a jam; lost answers alone stay below
-LATE_US, LATE_GAIN_LEAST, LATE_GAIN_MOST = 2_000_000, 0.02, 0.4  # us of memory, and what one may weigh
-SHED_STEP, SHED_MOST = 0.8, 1.0  # gain of the shed share on the excess of late ones, and its bound
-SHED_FIRST, SHED_HALF = 0.3, 20.0  # shed at birth, as it may be into a jam; gateways at which half of that
-SHED_NOW, SHED_ODDS_MOST = 1.5, 0.95  # what that excess adds at once; some pass to tell when a jam is over
-SPARE_LATE = 0.15  # share of late attempts below which the fleet has room for free excess
-SHED_SPAN = 0.6  # of a worker's limit kept from customers by how much of their quota is used
 # Attempts
 HEDGE_MEANS, RETRY_EARN, RETRY_MOST = 4.0, 0.1, 20.0  # means before a copy; retries earned each, kept
 BACK_PART = 0.1  # of the aim: when clients refused in a jam shall come back; longer costs them the aim
 
 Actions = list[api.Action]
-DUE, BEHIND, WAITING = 1, 2, 3  # where a customer with something to push stands
 TICK_TOKEN, LATE_TOKEN, WATCH_TOKEN, TOKEN_KIND = 1 << 60, 2 << 60, 3 << 60, 15 << 60
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 
@@ -87,16 +71,10 @@
         self.log = log
         self.born = -1
         self.customers: dict[int, Customer] = {}
-        self.slots: list[list[Customer]] = [[] for _ in range(SYNC_SLICES)]
-        self.at = 0
         self.calls: dict[int, tuple[Customer, Window]] = {}
-        self.waiting: deque[Customer] = deque()  # due, but the calls out are at their bound
-        self.behind: deque[Customer] = deque()  # the same, of those whose totals can hardly matter yet
         self.held: dict[int, list[Job]] = {}  # by the name of the call they wait for
         self.limits = Limits(settings, self.customers, tuning)
-        self.first_pace = CALLS_FIRST / settings.gateways / settings.counter_timeout * 1e6
-        self.pace = self.first_pace
-        self.tokens, self.paid_at = 1.0, 0
+        self.line = CallLine(settings)
         # Of the requests with a total: share beyond quota, by plan; apart, for customers seen here within a
         # window: behind many doors who comes so soon again asks for much, and would shut out all the others.
         self.beyond = [[0.0] * len(settings.plans) for _ in range(2)]
@@ -120,7 +98,7 @@
             self.limits.fill(who)
             if length and self.settings.counter and not thin:
                 who.cur.known, who.prev.known = False, False
-                self.line_up(who)  # the immediate read
+                self.line.line_up(who)  # the immediate read
                 self.pump(now, acts)
         else:
             who.recent = now - who.seen_at < who.length
@@ -134,7 +112,7 @@
         if step == 1:
             who.noted -= who.prev.count()
             who.prev, who.cur = who.cur, Window(who.cur.index + 1)
-            who.last_due = self.near(who) or who.prev.at < now - 3 * who.length // 2
+            who.last_due = near(who) or who.prev.at < now - 3 * who.length // 2
             self.limits.fill_window(who, who.cur)
         elif step > 1:
             who.prev, who.cur = Window(who.cur.index + step - 1), Window(who.cur.index + step)
@@ -207,7 +185,7 @@
             # Scarce calls go where most is at stake: worth that would be refused or paid for.
             stake = job.spec.worth * who.plan.price * job.units * (PASS_COST + who.plan.over_cost)
             self.stake += BEYOND_GAIN * (stake - self.stake)
-            if self.paid(now) < min(2.0, max(1.0, self.stake / max(1e-9, stake))):
+            if self.line.paid(now) < min(2.0, max(1.0, self.stake / max(1e-9, stake))):
                 return False
         job.held_in = who.cur
         who.cur.mine += job.units
@@ -231,14 +209,7 @@
         if (window := job.held_in) is not None:
             window.mine -= job.units
             window.diff -= job.units
-            self.queue(job.who)
-
-    def paid(self, now: int) -> float:
-        """Calls that may be made now."""
-        most = 2.0 + self.pace * self.settings.counter_timeout / 1e6
-        self.tokens = min(most, self.tokens + (now - self.paid_at) * self.pace / 1e6)
-        self.paid_at = now
-        return self.tokens
+            self.line.queue(job.who)
 
     def under_ceiling(self, now: int, who: Customer, units: float) -> bool:
         """A fixed part of rate and burst, the slack never spent: safe whatever the counter does."""
@@ -276,56 +247,25 @@
             if who.unsure_since < 0:
                 who.unsure_since = now
             if not who.thin:  # a call of its own tells nobody more than `counted` does
-                self.queue(who)
-
-    def queue(self, who: Customer) -> None:
-        if not who.queued:
-            who.queued = DUE
-            self.slots[mix64(who.key) % SYNC_SLICES].append(who)
-        elif who.queued == BEHIND and self.keen(who):
-            self.line_up(who)  # its place behind is passed over
+                self.line.queue(who)
 
     def tick(self, now: int, acts: Actions) -> None:
         """Push one slice of the customers that owe."""
-        self.at = (self.at + 1) % SYNC_SLICES
-        due, self.slots[self.at] = self.slots[self.at], []
-        for who in due:
-            self.line_up(who)
+        self.line.turn()
         self.pump(now, acts)
         self.sweep(now)
         self.limits.tick(now, acts.append)
 
-    def keen(self, who: Customer) -> bool:
-        """Danger: where customers that come once take the calls there are, the totals of those near their
-        quota grow old, and more is passed beyond quotas than all the others use."""
-        mine = who.cur.mine + who.prev.mine
-        return who.thin or mine >= KEEN_PART * who.plan.burst / who.doors or who.cur.restore > 0.0
-
-    def line_up(self, who: Customer) -> None:
-        who.queued = WAITING if self.keen(who) else BEHIND
-        (self.waiting if who.queued == WAITING else self.behind).append(who)
-
     def pump(self, now: int, acts: Actions) -> None:
-        """Make calls at a pace that may be far below one a second.  Danger: more only lengthen the line."""
-        while self.behind and now - self.behind[0].seen_at >= 2 * self.behind[0].length:
-            who = self.behind.popleft()  # its windows are over: what it passed counts nowhere
-            if who.queued == BEHIND:
-                who.queued = 0
-        while (line := self.waiting or self.behind) and self.paid(now) >= 1.0 + line[0].thin:
-            who = line.popleft()
-            if who.queued == (WAITING if line is self.waiting else BEHIND):
-                who.queued = 0
-                self.roll(now, who)
-                if who.last_due and now % who.length > LAST_READ_US:
-                    # Danger: what the others passed at a window's end and pushed after this gateway's last
-                    # call for it stays unseen; forgotten at every turn, it adds up to a fifth of the quota.
-                    who.last_due, who.prev.known = False, False
-                self.push(who, acts)
-
-    def near(self, who: Customer) -> bool:
-        """Whether news of this customer can change a decision."""
-        limit = KEEN_PART * who.plan.burst
-        return not who.thin and who.prev.count() >= limit or who.unused < limit
+        """Make the calls that there are tokens for."""
+        self.line.drop_old(now)
+        while (who := self.line.take(now)) is not None:
+            self.roll(now, who)
+            if who.last_due and now % who.length > LAST_READ_US:
+                # Danger: what the others passed at a window's end and pushed after this gateway's last
+                # call for it stays unseen; forgotten at every turn, it adds up to a fifth of the quota.
+                who.last_due, who.prev.known = False, False
+            self.push(who, acts)
 
     def push(self, who: Customer, acts: Actions) -> None:
         for window in (who.prev, who.cur):
@@ -333,12 +273,12 @@
                 continue
             name = mix64(mix64(who.key) + window.index)
             if name in self.calls:
-                self.queue(who)
+                self.line.queue(who)
                 continue
             window.sent, window.restoring = window.diff, window.restore
             window.diff = window.restore = 0.0
             self.calls[name] = (who, window)
-            self.tokens -= 1.0
+            self.line.called()
             life = min(NAME_MOST_US, 2 * who.length + NAME_SPARE_US)
             acts.append(api.Count(name, window.sent + window.restoring, life))
 
@@ -349,8 +289,7 @@
         who, window = self.calls.pop(event.name)
         sent, window.sent = window.sent, 0.0
         if event.outcome == Outcome.OK:
-            slow = event.latency > CALLS_SLOW * self.settings.counter_timeout
-            self.pace = self.pace * CALLS_EASE if slow else self.pace + CALLS_STEP * self.first_pace
+            self.line.answered(event.latency)
             must = window.seen + sent + window.restoring
             if who.thin:  # others may have taken back units of requests not passed
                 must -= 2.0 * self.settings.most_units
@@ -361,7 +300,7 @@
                 window.restore = min(window.acked, must - event.total)
                 self.limits.health.lost_counts(now, (window.index + 2) * who.length)
                 self.log.add(now, acts, "lost", "counter lost counts: keeping floors, restoring own")
-                self.queue(who)
+                self.line.queue(who)
             elif window.floor:
                 window.floor += sent
             elsewhere = event.total - must
@@ -381,8 +320,8 @@
         else:
             self.limits.health.failed(now)
             if event.outcome != Outcome.ERROR:  # an unreadable answer tells nothing of the pace
-                self.pace = max(CALLS_LEAST, self.pace * CALLS_CUT)
-            if self.pace <= CALLS_LEAST:
+                self.line.failed()
+            if self.line.crawls():
                 self.log.add(now, acts, "counter", "counter failing: customers held to their share here")
             if event.outcome in (Outcome.TIMEOUT, Outcome.ERROR):
                 window.total += sent  # it may stand there: never sent twice
@@ -392,7 +331,7 @@
             window.known = who.thin  # totals are old: read again when next due
             if who.unsure_since < 0:
                 who.unsure_since = now
-            self.queue(who)
+            self.line.queue(who)
         window.restoring = 0.0
         self.pump(now, acts)
         return self.held.pop(event.name, [])
@@ -426,9 +365,7 @@
         self.held = 0.0  # mean that reports tell of others' requests at a worker
         self.refused = 0.0  # share of new connections that were refused, over all workers
         self.means = [c.aim * FIRST_GUESS_PART for c in settings.classes]
-        first_shed = SHED_FIRST * settings.gateways / (settings.gateways + SHED_HALF)
-        self.late, self.shed, self.judged_at = LATE_TARGET, first_shed, 0
-        self.excess = 0.0  # of late attempts over the target, beyond what chance makes of so few
+        self.shedding = Shedding(settings.gateways)
 
     def changed(self, now: int, event: api.FleetChanged) -> None:
         if event.kind == FleetKind.FAILED:
@@ -545,28 +482,6 @@
             worker.shut = min(SHUT_MOST, worker.shut + 1)
             self.refused += CONNECT_GAIN * (1.0 - self.refused)
 
-    def judge(self, now: int, late: bool) -> None:
-        """Danger: many gateways with little traffic each jam the whole fleet, and none sees one worker often
-        enough to know.  All attempts here count as one sample, whatever made them late: surges, costly
-        requests, lost workers.  Harm: where most answers are lost, some is refused that would be served."""
-        span = (now - self.judged_at) / LATE_US if self.judged_at else 0.0
-        gain = min(LATE_GAIN_MOST, max(LATE_GAIN_LEAST, span))
-        self.judged_at = now
-        self.late += gain * (late - self.late)
-        # Danger: the fewer attempts a share rests on, the more of it is chance; many gateways with little
-        # traffic each shed by turns what the fleet could well serve.
-        chance = sqrt(gain / (2.0 - gain)) - sqrt(LATE_GAIN_LEAST / (2.0 - LATE_GAIN_LEAST))
-        self.excess = self.late - LATE_TARGET - chance * sqrt(LATE_TARGET * (1.0 - LATE_TARGET))
-        # By time, not by attempts: what is shed leaves few attempts to tell that the jam is over.
-        step = SHED_STEP * min(2.0, span) * self.excess
-        self.shed = min(SHED_MOST, max(0.0, self.shed + step))
-
-    def sheds(self, usage: float, luck: float) -> bool:
-        """Refuse some, those with more of their quota used first."""
-        push = self.shed + SHED_NOW * max(0.0, self.excess)
-        odds = min(SHED_ODDS_MOST, push * (1.0 - SHED_SPAN * (1.0 - min(1.0, usage))))
-        return luck < odds
-
     def sent(self, now: int, worker: Worker, class_id: int) -> None:
         worker.out += 1
         if now < worker.cold_until:
@@ -737,7 +652,7 @@
         self.jobs[job.id] = job
         job.luck = self.fleet.random.random()
         # A wait is for those that only the total can refuse: any other would spend a call in vain.
-        sure = quota.bars(now, who, job.units) or self.fleet.sheds(0.0, job.luck)
+        sure = quota.bars(now, who, job.units) or self.fleet.shedding.sheds(0.0, job.luck)
         if sure or not quota.hold(now, job, acts):
             self.decide(now, job, acts)
 
@@ -756,7 +671,7 @@
             usage = usage if quota.passes_unseen(who, self.fleet.random.random()) else 2.0
         worker = None
         free = usage > 1.0 and self.spares(who)
-        barred = quota.bars(now, who, job.units) or self.fleet.sheds(usage, job.luck)
+        barred = quota.bars(now, who, job.units) or self.fleet.shedding.sheds(usage, job.luck)
         if (usage <= 1.0 or free) and not barred:
             worker = self.fleet.choose(now, job, usage)
         if worker is None:
@@ -773,8 +688,7 @@
     def spares(self, who: Customer) -> bool:
         """Exception.  Danger: totals lag and windows are coarse; each honest request refused for that loses
         its whole worth.  Where excess costs nothing and the fleet is idle enough, it passes uncounted."""
-        fleet, plan = self.fleet, who.plan
-        return plan.over_worth > plan.over_cost and fleet.shed <= 0.0 and fleet.late < SPARE_LATE
+        return who.plan.over_worth > who.plan.over_cost and self.fleet.shedding.spare()
 
     def advice(self, spec: RequestClass) -> int:
         """When to come back after a jam's excess: soon enough for the aim, or the answer earns nothing."""
@@ -806,7 +720,7 @@
         that never come, whatever ate them; a worker stuck with the request."""
         if job.attempts[0].out and not job.attempts[0].judged:
             job.attempts[0].judged = True
-            self.fleet.judge(now, True)
+            self.fleet.shedding.judge(now, True)
         if job.over or job.out != 1 or job.spec.effect == Effect.UNSAFE or not job.may_duplicate:
             return
         wait = job.attempts[0].sent_at + int(self.fleet.means[job.class_id] * HEDGE_MEANS) - now
@@ -819,7 +733,7 @@
         """A further attempt, if the request may have one and the fleet is not jammed."""
         if len(job.attempts) >= self.settings.max_attempts or now >= job.deadline - self.settings.tick:
             return False
-        if not (free or self.retries >= 1.0) or self.fleet.sheds(1.0, self.fleet.random.random()):
+        if not (free or self.retries >= 1.0) or self.fleet.shedding.sheds(1.0, self.fleet.random.random()):
             return False
         worker = self.fleet.choose(now, job, usage)
         if worker is not None:
@@ -840,7 +754,7 @@
             late = event.latency > LATE_PART * job.spec.aim
             # Danger: one that drains turns all away; judged each time, it would look like a jam of them all.
             full = event.outcome == Outcome.FULL and prompt(event, job.spec)
-            self.fleet.judge(now, late or (full and not attempt.worker.turned_away))
+            self.fleet.shedding.judge(now, late or (full and not attempt.worker.turned_away))
         self.fleet.ended(now, attempt.worker, job, event, acts)
         if event.settled and self.settings.post_paid and job.who.length:
             self.quota.roll(now, job.who)
@@ -853,7 +767,7 @@
     def go_on(self, now: int, job: Job, last: Attempt, acts: Actions) -> None:
         """After a failed attempt: try another worker, wait for a copy still out, or end it."""
         # The worker did no work: such a retry adds no load, but in a jam it finds the next full queue.
-        free = last.never_ran and self.fleet.late < LATE_TARGET
+        free = last.never_ran and not self.fleet.shedding.jammed()
         if self.again(now, job, 0.0, free, acts):
             return
         if job.out or job.streaming:
