Name the place of any settings field that cannot be served, by type and range

A settings file that the reader could not use ended in 'unusable settings: TypeError: ...', and some that it could not serve were read: a cold start from nothing of a server's capacity (divided by at the first cold server), an ingress numbered beyond its tier, a plan with a rate and no store, two classes of one name. vetchusher/fields.py reads by type and range and names the place; wire.py and config.py read through it. Rejected: the schema library, which is loaded only where an operators' file is given: 0.1 s and 8 MB at every start, and in every instance of the adapter.

Each field of the second deployment's settings is tried missing, of each other type and out of range: one line with the place, or settings that the module serves.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -1,11 +1,14 @@
 """The second deployment's shape: units settled by the answer, a hard ceiling, several halls, one class."""
 
+import copy
+import json
 from dataclasses import replace
 
 import pytest
 from helpers import PLAN, SECOND, SETTINGS, CounterService, Gate
 
 from vetchusher import interface as api
+from vetchusher import wire
 from vetchusher.emulator import deployments
 from vetchusher.emulator.faults import Fault, FaultKind, Script
 from vetchusher.emulator.virtual import Scene, World
@@ -99,3 +102,118 @@
     before = [w.cur.count() + w.prev.count() for w in gate.policy.quota.customers.values()]
     settle(gate, next(s for s in gate.sends if s.request == jobs[0].id), 8.0)
     assert before == [w.cur.count() + w.prev.count() for w in gate.policy.quota.customers.values()]
+
+
+# ---- settings that cannot be served --------------------------------------------------
+
+TREE = {
+    "az": 1,
+    "balancers": 3,
+    "my_number": 2,
+    "granularity": 2000,
+    "registry_mode": "automatic",
+    "failure_domains": ["east", "west", "north"],
+    "kinds": ["std-2", "slow-2"],
+    "classes": [
+        {
+            "name": "shift-split",
+            "effect": "idempotent",
+            "key_scope": "all",
+            "aim": 1200000,
+            "hard_limit": 4000000,
+            "credit": 1.0,
+            "late_share": 0.2,
+            "repeat_window": 5000000,
+            "stream": False,
+        }
+    ],
+    "contracts": [
+        {
+            "name": "kitchen",
+            "depth": 32.0,
+            "units_per_s": 3.4,
+            "price": 1.3,
+            "beyond_earns": 0.1,
+            "over_cost": 0.0,
+            "hard_rate": 7.0,
+            "ceiling_burst": 66.0,
+            "ceiling_slack": 8.0,
+            "concurrency": 0,
+        }
+    ],
+    "extra": {"counter": True, "count_limit": 50000, "units_top": 8, "post_paid": True, "inbox_per_s": 100},
+    "limits": {
+        "most_tries": 5,
+        "may_duplicate": True,
+        "cancelling": True,
+        "retry_after": True,
+        "max_retry_after": 1000000,
+        "conn_idle": 30000000,
+        "connect_timeout": 250000,
+        "open_cap": 20000,
+        "peers": True,
+    },
+    "invariants": {"cold": 18000000, "cold_from": 0.29, "fall_multiple": 3.0, "tip_after": 3000000},
+    "stats": {"fields": ["outstanding", "backlog"]},
+}
+NEEDED = {"balancers", "classes", "classes[0].effect", "classes[0].aim", "classes[0].hard_limit"}
+TEXTS = {"name", "registry_mode", "effect", "key_scope"}
+
+
+def places(tree, place=""):
+    for name, value in tree.items() if isinstance(tree, dict) else enumerate(tree):
+        here = f"{place}[{name}]" if isinstance(tree, list) else f"{place}.{name}".lstrip(".")
+        yield here, tree, name
+        if isinstance(value, dict | list):
+            yield from places(value, here)
+
+
+PLACES = [here for here, _, _ in places(TREE)]
+
+
+def changed(place, value):
+    tree = copy.deepcopy(TREE)
+    for here, holder, name in places(tree):
+        if here == place:
+            if value is Ellipsis:
+                del holder[name]
+            else:
+                holder[name] = value
+            return json.dumps(tree).encode()
+    raise AssertionError(place)
+
+
+@pytest.mark.parametrize("place", PLACES)
+def test_each_field_of_the_settings_is_read_or_named(place):
+    """Missing, of each other type, out of range: settings come of it, or one line with the place."""
+    named = f"settings.{place}"
+    refused = 0
+    for value in (..., [[]], {"x": 1}, "no such", True, -1, -0.5, float("nan"), float("inf"), 1e300):
+        try:
+            settings = wire.read_settings(changed(place, value))
+        except wire.WireError as err:
+            refused += 1
+            assert str(err).startswith((named, named.rpartition(".")[0])) and "\n" not in str(err)
+            assert value is not ... or place in NEEDED or place.endswith("]") or "depth" in place
+        else:
+            policy = Gate(settings)  # what is read is served
+            policy.ask(doors=3.0, plan_id=0) if settings.plans else None
+            policy.advance(SECOND // 2)
+    assert refused >= (4 if place.rpartition(".")[2] in TEXTS else 3)
+
+
+@pytest.mark.parametrize(
+    ("place", "value", "text"),
+    [
+        ("classes[0].aim", 0, "settings.classes[0].aim: 0 is not at least 1"),
+        ("my_number", 3, "settings.my_number: 3 is not at least 0 and at most 2"),
+        ("contracts[0].depth", 0, "settings.contracts[0].depth: a plan with a rate needs a store"),
+        ("invariants.cold_from", 0, "settings.invariants.cold_from: 0 is not above 0"),
+        ("classes", [], "settings.classes: there are none"),
+        ("classes", TREE["classes"] * 2, "settings.classes: 'shift-split' stands there twice"),
+        ("classes[0].effect", "maybe", "settings.classes[0].effect: 'maybe' is none of idempotent"),
+    ],
+)
+def test_what_a_deployment_cannot_be_served_with_is_named(place, value, text):
+    with pytest.raises(wire.WireError, match="^" + text.replace("[", "\\[")):
+        wire.read_settings(changed(place, value))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -142,7 +142,8 @@
     [{"listen": "localhost:1"}, {"listen": "1.2.3.4:0"}, {"discovery": "1.2.3.256:1"}, {"counter": "x"}],
 )
 def test_addresses_that_are_turned_down(changed):
-    with pytest.raises(config.ConfigError, match="unusable configuration: not a"):
+    (name,) = changed
+    with pytest.raises(config.ConfigError, match=f"^configuration.{name}: not a"):
         config.parse(orjson.dumps(tree(**changed)))
 
 
--- a/vetchusher/net/config.py
+++ b/vetchusher/net/config.py
@@ -11,6 +11,7 @@
 
 from vetchusher import interface as api
 from vetchusher import wire
+from vetchusher.fields import FieldError, Fields, shown
 
 DESCRIPTORS_SPARE = 28  # interpreter, loop, listener, name table, what is about to close
 COUNTER_CONNECTIONS = 32  # the counter resets any further ones
@@ -85,44 +86,63 @@
     environ = environ or {}
     socket_fd = read_descriptor(environ.get("NODE_SOCKET_FD", ""))
     try:
-        tree = orjson.loads(raw)
-        console_text = environ.get("NODE_CONSOLE") or tree.get("console")
-        console = read_address(console_text) if console_text else None
-        listen = read_address(tree["listen"])
-        discovery, counter = str(tree["discovery"]), str(tree.get("counter") or "")
-        read_address(discovery)
-        if counter:
-            read_address(counter)
-        settings = wire.read_settings(orjson.dumps(tree["settings"]))
-        limits = tree.get("limits", {})
-        peer_listen = read_address(tree["peer_listen"]) if tree.get("peer_listen") else None
-        peers = tuple(read_address(p) for p in tree.get("peers") or ())
-        peers_all = read_address(tree["peers_all"]) if tree.get("peers_all") else None
+        tree = Fields(orjson.loads(raw), "configuration")
+        settings = wire.read_settings(orjson.dumps(tree.object("settings").tree))
+        peer_listen = maybe_address(tree, "peer_listen")
+        peers = tuple(address(tree, f"peers[{n}]", p) for n, p in enumerate(tree.list("peers")))
         if peer_listen is None or len(peers) < settings.gateways:
             settings = replace(settings, peers=False)  # nowhere to hear them, or to know them by
+        console = environ.get("NODE_CONSOLE")
+        counter = maybe_address(tree, "counter")
+        limits = tree.object("limits")
         return Config(
-            name=str(tree.get("name", "")),
-            listen=listen,
-            discovery=discovery,
-            counter=counter,
-            seed=int(str(tree.get("seed", "0")), 16),
-            known=dict(tree.get("known") or {}),
+            name=tree.text("name"),
+            listen=address(tree, "listen", tree.value("listen")),
+            discovery=address_text(address(tree, "discovery", tree.value("discovery"))),
+            counter=address_text(counter) if counter else "",
+            seed=read_seed(tree),
+            known=tree.object("known").tree,
             settings=settings,
-            bounds=bounds_for(int(limits.get("sockets") or 1024), settings.open_cap),
+            bounds=bounds_for(limits.positive("sockets", 1024), settings.open_cap),
             peer_listen=peer_listen if settings.peers else None,
             peers=peers,
-            peers_all=peers_all,
+            peers_all=maybe_address(tree, "peers_all"),
             socket_fd=socket_fd,
-            console=console,
+            console=address(tree, "console", console) if console else maybe_address(tree, "console"),
         )
-    except wire.WireError as err:
+    except (FieldError, wire.WireError) as err:
         raise ConfigError(str(err)) from None
-    except KeyError as err:
-        raise ConfigError(f"configuration lacks {err}") from None
-    except (ValueError, TypeError, AttributeError) as err:
+    except ValueError as err:
         raise ConfigError(f"unusable configuration: {' '.join(str(err).split())}") from None
 
 
+def address(tree: Fields, name: str, value: object) -> tuple[str, int]:
+    if value is None:
+        raise tree.fault(name, "is missing")
+    try:
+        return read_address(value)
+    except ValueError as err:
+        raise tree.fault(name, str(err)) from None
+
+
+def maybe_address(tree: Fields, name: str) -> tuple[str, int] | None:
+    """The address of a field that may be absent or empty."""
+    value = tree.value(name)
+    return address(tree, name, value) if value else None
+
+
+def address_text(place: tuple[str, int]) -> str:
+    return f"{place[0]}:{place[1]}"
+
+
+def read_seed(tree: Fields) -> int:
+    value = tree.value("seed")
+    try:
+        return int(str(value or "0"), 16)
+    except ValueError:
+        raise tree.fault("seed", f"{shown(value)} is no number in hex digits") from None
+
+
 def load(path: str, environ: Mapping[str, str] | None = None) -> Config:
     try:
         raw = pathlib.Path(path).read_bytes()
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -23,7 +23,7 @@
 UNUSED_LEFT = 0.05  # of the burst: what must stay unused for the unused-quota exception
 PASS_COST, COUNTED_LEAST = 0.2, 0.3  # stake where excess costs nothing; least share that totals hold
 BEYOND_GAIN, PASS_LEAST = 0.12, 0.1  # weight of the newest sample in a plan's share beyond; passed at least
-SHARE_GAIN, SHARE_LEAST = 0.3, 4.0  # newest sample of the share seen here; units below which it is chance
+SHARE_GAIN, SHARE_LEAST = 0.3, 4.0  # newest sample of the share seen here; lumps below which it is chance
 LAST_READ_US = 110_000  # us after a window's end when all have pushed what they passed in it
 LOST_TOLERANCE = 1e-5  # relative: totals come back with seven digits
 NAME_SPARE_US, NAME_MOST_US = 2_000_000, 60_000_000  # us a name outlives its use; none is kept longer
@@ -328,7 +328,7 @@
                 who.heard_at = now
             if window.diff <= 0.0:
                 who.unsure_since = -1
-            if (total := who.cur.count() + who.prev.count()) >= SHARE_LEAST:
+            if (total := who.cur.count() + who.prev.count()) >= SHARE_LEAST * self.limits.health.lump:
                 who.share += SHARE_GAIN * (min(1.0, (who.cur.mine + who.prev.mine) / total) - who.share)
         else:
             self.limits.health.failed(now)
--- a/vetchusher/wire.py
+++ b/vetchusher/wire.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from . import interface as api
+from .fields import FieldError, Fields
 
 HEADER = struct.Struct("<IIQ")
 REPLY = struct.Struct("<II")
@@ -68,81 +69,94 @@
 
 
 def read_settings(raw: bytes) -> api.Settings:
-    """Settings from the wire's JSON text; unknown keys are skipped."""
+    """Settings from the wire's JSON text; unknown keys are skipped.
+
+    :raises WireError: one line that names the place of the first field that cannot be used
+    """
     try:
         tree = json.loads(raw)
-        return _settings(tree)
-    except WireError:
-        raise
-    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as err:
-        raise WireError(f"unusable settings: {type(err).__name__}: {err}") from None
-
-
-def _settings(tree: dict[str, Any]) -> api.Settings:
-    rules, limits, extra = tree.get("invariants", {}), tree.get("limits", {}), tree.get("extra", {})
-    stats = tree.get("stats", {})
-    classes = tuple(
-        api.RequestClass(
-            effect=_EFFECTS[c["effect"]],
-            scope=_SCOPES[c.get("key_scope") or "all"],
-            aim=int(c["aim"]),
-            deadline=int(c["hard_limit"]),
-            repeat_window=int(c.get("repeat_window") or 0),
-            worth=float(c.get("credit", 1.0)),
-            late_share=float(c.get("late_share", 0.0)),
-            stream=bool(c.get("stream", False)),
-            name=str(c.get("name", "")),
-        )
-        for c in tree["classes"]
+    except (ValueError, RecursionError) as err:
+        raise WireError(f"unusable settings: {' '.join(str(err).split())}") from None
+    try:
+        return _settings(Fields(tree, "settings"))
+    except FieldError as err:
+        raise WireError(str(err)) from None
+
+
+def _class(c: Fields) -> api.RequestClass:
+    return api.RequestClass(
+        effect=c.choice("effect", _EFFECTS),
+        scope=c.choice("key_scope", _SCOPES, "all"),
+        aim=c.whole("aim", least=1),
+        deadline=c.whole("hard_limit", least=1),
+        repeat_window=c.whole("repeat_window", 0),
+        worth=c.number("credit", 1.0),
+        late_share=c.number("late_share", 0.0),
+        stream=c.flag("stream"),
+        name=c.text("name"),
     )
-    plans = tuple(
-        api.Plan(
-            rate=float(p.get("units_per_s") or 0.0),
-            burst=float(p.get("depth") or 0.0),
-            open_limit=int(p.get("concurrency") or 0),
-            price=float(p.get("price", 1.0)),
-            over_worth=float(p.get("beyond_earns") or 0.0),
-            over_cost=float(p.get("over_cost") or 0.0),
-            ceiling_rate=float(p.get("hard_rate") or 0.0),
-            ceiling_burst=float(p.get("ceiling_burst") or 0.0),
-            ceiling_slack=float(p.get("ceiling_slack") or 0.0),
-            name=str(p.get("name", "")),
-        )
-        for p in tree.get("contracts", ())
+
+
+def _plan(p: Fields) -> api.Plan:
+    plan = api.Plan(
+        rate=p.number("units_per_s", 0.0),
+        burst=p.number("depth", 0.0),
+        open_limit=p.whole("concurrency", 0),
+        price=p.number("price", 1.0),
+        over_worth=p.number("beyond_earns", 0.0),
+        over_cost=p.number("over_cost", 0.0),
+        ceiling_rate=p.number("hard_rate", 0.0),
+        ceiling_burst=p.number("ceiling_burst", 0.0),
+        ceiling_slack=p.number("ceiling_slack", 0.0),
+        name=p.text("name"),
     )
-    gateways = int(tree["balancers"])
-    if not classes or gateways < 1:
-        raise WireError("unusable settings: no classes or no balancers")
+    if plan.rate > 0.0 and plan.burst <= 0.0:
+        # Danger: a window of no length; every look at the customer's counts would divide by nothing.
+        raise p.fault("depth", "a plan with a rate needs a store that holds something")
+    return plan
+
+
+def _settings(tree: Fields) -> api.Settings:
+    rules, limits, extra = tree.object("invariants"), tree.object("limits"), tree.object("extra")
+    stats = tree.object("stats")
+    classes = tuple(_class(c) for c in tree.objects("classes", needed=True))
+    if not classes:
+        raise tree.fault("classes", "there are none")
+    plans = tuple(_plan(p) for p in tree.objects("contracts"))
+    for what, names in (("classes", [c.name for c in classes]), ("contracts", [p.name for p in plans])):
+        if twice := next((n for n in names if n and names.count(n) > 1), None):
+            raise tree.fault(what, f"{twice!r} stands there twice")
+    gateways = tree.whole("balancers", least=1, most=1e6)
     return api.Settings(
-        index=int(tree.get("my_number", 0)),
+        index=tree.whole("my_number", 0, most=gateways - 1),
         gateways=gateways,
-        zone=int(tree.get("az", 0)),
+        zone=tree.whole("az", 0),
         classes=classes,
         plans=plans,
-        load_fields=tuple(_LOADS.get(f, f) for f in stats.get("fields", ())),
-        subscribe=tree.get("registry_mode", "automatic") == "subscribe",
-        counter=bool(extra.get("counter", False)),
-        counter_timeout=int(extra.get("count_limit") or 50_000),
-        post_paid=bool(extra.get("post_paid", False)),
-        most_units=float(extra.get("units_top") or 1.0),
-        max_attempts=int(limits.get("most_tries", 1)),
-        may_duplicate=bool(limits.get("may_duplicate", False)),
-        may_cancel=bool(limits.get("cancelling", False)),
-        retry_after=bool(limits.get("retry_after", False)),
-        max_retry_after=int(limits.get("max_retry_after") or 0),
-        cold_from=float(rules.get("cold_from", 1.0)),
-        cold_time=int(rules.get("cold") or 0),
-        fall_multiple=float(rules.get("fall_multiple", 1.0)),
-        fall_time=int(rules.get("tip_after") or 1_000_000),
-        ask_within=int(rules.get("ask_within") or 10_000_000),
-        connection_idle=int(limits.get("conn_idle") or 15_000_000),
-        tick=int(tree.get("granularity") or 1_000),
-        connect_limit=int(limits.get("connect_timeout") or 250_000),
-        open_cap=int(limits.get("open_cap") or 20_000),
-        peers=bool(limits.get("peers", False)),
-        peer_in_per_s=float(extra.get("inbox_per_s") or 0.0),
-        zones=tuple(str(z) for z in tree.get("failure_domains", ())),
-        kinds=tuple(str(k) for k in tree.get("kinds", ())),
+        load_fields=tuple(_LOADS.get(f, f) for f in stats.texts("fields")),
+        subscribe=tree.text("registry_mode", "automatic") == "subscribe",
+        counter=extra.flag("counter"),
+        counter_timeout=extra.positive("count_limit", 50_000),
+        post_paid=extra.flag("post_paid"),
+        most_units=extra.number("units_top", 1.0) or 1.0,
+        max_attempts=limits.whole("most_tries", 1),
+        may_duplicate=limits.flag("may_duplicate"),
+        may_cancel=limits.flag("cancelling"),
+        retry_after=limits.flag("retry_after"),
+        max_retry_after=limits.whole("max_retry_after", 0),
+        cold_from=rules.number("cold_from", 1.0, most=1.0, above=True),
+        cold_time=rules.whole("cold", 0),
+        fall_multiple=rules.number("fall_multiple", 1.0, above=True),
+        fall_time=rules.positive("tip_after", 1_000_000),
+        ask_within=rules.positive("ask_within", 10_000_000),
+        connection_idle=limits.positive("conn_idle", 15_000_000),
+        tick=tree.positive("granularity", 1_000),
+        connect_limit=limits.positive("connect_timeout", 250_000),
+        open_cap=limits.positive("open_cap", 20_000),
+        peers=limits.flag("peers"),
+        peer_in_per_s=extra.number("inbox_per_s", 0.0),
+        zones=tree.texts("failure_domains"),
+        kinds=tree.texts("kinds"),
     )
 
 
