Add leases by a majority of voters for duties that one ingress holds at a time, with their proofs by search

The state machines of docs/design/duties.md, free of I/O: voters, candidates, tokens, handing-on in four paths, even and steady spreading, the envelope of messages (vetchusher/tier) and the lease clock. Not wired into the program yet.

Explorer: all interleavings of 3 voters and 2 candidates with a restart, a release and four steps of time to the depth that 4,000 states allow from three starts, and random walks beyond. Nine guards taken out in turn are each found.

--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,315 @@
+"""Duties: what may never be, over random faults, all interleavings of a small case, and planted faults."""
+
+import random
+
+import pytest
+
+from vetchusher.duties import Duties, Duty, Plan, Timing, holder_of
+from vetchusher.duties.candidate import Candidate, Reason, Stage
+from vetchusher.duties.duties import Note, Tell
+from vetchusher.duties.messages import Message, Topic, read, write
+from vetchusher.duties.voter import Voter
+from vetchusher.emulator.duties_explorer import explore, wander
+from vetchusher.emulator.duties_faults import PLANTED, planted
+from vetchusher.emulator.duties_world import MS, SECOND, Scene, World
+from vetchusher.tier import Envelope, Pace
+
+LEASE = 2 * SECOND
+TIMING = Timing(LEASE)
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_never_two_holders_nor_a_lower_token_whatever_fails(seed):
+    voters, members = ((3, 5), (5, 9), (1, 3), (7, 12))[seed % 4]
+    scene = Scene(seed=seed, members=members, voters=voters, duties=1 + seed % 3, length=80 * SECOND)
+    found = World(scene).run()
+    assert not found.wrong and found.terms > 2 and found.acts > 50
+    assert seed > 1 or World(scene).run().events == found.events  # the same seed, the same run
+
+
+CUTS = ("cut in two", "deaf", "stopped")
+FOUND_BY = {  # guard taken out: the walks' seed, or the first seed and the scene of the world that shows it
+    "no silence after a restart": (2, {}),
+    "no recall after a restart": (16, {"kinds": ("voters restarted", "killed"), "every": 5 * SECOND}),
+    "no ballot check at a renewal": (2, None),
+    "no margin at the holder": (2, {"least_ms": 1, "most_ms": 3, "every": 4 * SECOND, "voters": 3}),
+    "no bound on drift": (29, {"kinds": CUTS, "least_ms": 1, "most_ms": 2, "wrong_clocks": 0.02}),
+    "lease counted from the answer": (2, None),
+    "anybody's release ends a term": (1, {"kinds": (*CUTS, "sigterm"), "every": 3 * SECOND}),
+    "promises while another holds": (2, None),
+    "no target looks at tokens": (3, {"checks_tokens": False, "every": 4 * SECOND, "voters": 5}),
+}
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_each_guard_taken_out_is_found(name):
+    seed, changed = FOUND_BY[name]
+    with planted(name):
+        if changed is None:
+            assert wander(3_000, 60, seed).wrong
+            return
+        scenes = (Scene(seed=s, length=100 * SECOND, **changed) for s in range(seed, seed + 40))
+        assert any(World(scene).run().wrong for scene in scenes)
+
+
+@pytest.mark.parametrize("begin", ["free", "held", "contested"])
+def test_no_interleaving_of_a_small_case_breaks_the_promise(begin):
+    found = explore(4_000, begin=begin)
+    assert not found.wrong and found.depth >= 4
+    assert not wander(60, 60, 3, begin).wrong
+
+
+def alone(scene, seconds):
+    """A world without faults that has run so long, with the holder's number."""
+    world = World(scene)
+    world.scene.length = seconds * SECOND
+    world.run()
+    return world, world.holder()
+
+
+@pytest.mark.parametrize("fault", ["killed", "cut off"])
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_lost_holder_is_replaced_within_two_leases(fault, seed):
+    scene = Scene(seed=seed, members=9, voters=5, faults=False)
+    world = World(scene)
+    lost = []
+
+    def lose():
+        lost.append((world.at, world.holder()))
+        if fault == "killed":
+            world.kill(world.holder(), 100 * SECOND)
+        else:
+            world.sides[world.holder()] = 1
+
+    world.holder = lambda: next(n for n, x in world.nodes.items() if x.duties.token(x.now(world.at), 0))
+    world.after(20 * SECOND + seed * 100 * MS, lose)
+    scene.length = 30 * SECOND
+    found = world.run()
+    at, number = lost[0]
+    assert not found.wrong and len(found.gaps) == 2 and holder_of(world.tokens[0]) != number
+    assert found.gaps[-1][1] < 2 * LEASE
+    assert world.free_since[0] is None
+
+
+def test_handing_on_takes_four_paths():
+    scene = Scene(seed=3, members=5, voters=3, faults=False, loss=0.0, late=0.0, least_ms=20, most_ms=21)
+    world = World(scene)
+    world.after(20 * SECOND, lambda: world.sigterm(holder_of(world.tokens[0])))
+    scene.length = 25 * SECOND
+    found = world.run()
+    assert not found.wrong and found.gaps[-1][1] < 100 * MS
+
+
+@pytest.mark.parametrize("members", [5, 40])
+def test_messages_of_those_that_do_not_vote_do_not_grow_with_the_tier(members):
+    found = World(Scene(members=members, voters=5, duties=4, faults=False, length=60 * SECOND)).run()
+    holders = 4  # a holder renews with five voters four times a lease
+    others = sorted(found.per_member[5:])[: max(0, members - 5 - holders)]
+    assert not found.wrong and (not others or max(others) < 8.0)
+
+
+# ---- a voter and a candidate by hand -------------------------------------------------
+
+
+def voter(memory=(0, (-1, 0), 0, (-1, 0), 0)):
+    made = Voter(0, 0, (0, 1, 2), TIMING)
+    made.begin(0, memory)
+    return made
+
+
+B1, B2 = 1 << 10 | 5, 2 << 10 | 6
+
+
+@pytest.mark.parametrize(
+    ("steps", "answers"),
+    [
+        ([(Topic.ASK, 5, B1), (Topic.TAKE, 5, B1), (Topic.ASK, 6, B2)], "promise taken held"),
+        ([(Topic.ASK, 6, B2), (Topic.ASK, 5, B1), (Topic.TAKE, 5, B1)], "promise held held"),
+        ([(Topic.ASK, 5, B1), (Topic.ASK, 5, B1), (Topic.TAKE, 5, B1)], "promise promise taken"),
+        ([(Topic.ASK, 6, B1)], "held"),  # a ballot of another's
+        ([(Topic.TAKE, 5, B1), (Topic.FREE, 6, B1), (Topic.ASK, 6, B2)], "taken held"),
+        ([(Topic.TAKE, 5, B1), (Topic.FREE, 5, B1), (Topic.ASK, 6, B2)], "taken promise"),
+        ([(Topic.TAKE, 5, B1), (Topic.FREE, 5, B1), (Topic.TAKE, 5, B1)], "taken held"),  # closed for good
+    ],
+)
+def test_what_a_voter_answers(steps, answers):
+    memory, said = voter(), []
+    for topic, sender, ballot in steps:
+        said += [m.topic.name.lower() for _, m in memory.heard(10, sender, 1, Message(topic, 0, ballot, 1))]
+    assert " ".join(said) == answers
+
+
+def test_a_ballot_belongs_to_one_life():
+    memory = voter()
+    assert memory.heard(0, 5, 1, Message(Topic.ASK, 0, B1))[0][1].topic is Topic.PROMISE
+    assert memory.heard(0, 5, 2, Message(Topic.TAKE, 0, B1))[0][1].topic is Topic.HELD
+
+
+def test_an_answer_counts_for_the_life_it_names_only():
+    """Two processes of one number share an address; found by random search, with two holders of one token."""
+    asker = Candidate(0, 5, 2, (0, 1, 2), TIMING, random.Random(1))
+    asker.due_at = 0
+    ballot = asker.tick(0, True, False)[0][1].ballot
+    for life in (1, 2):
+        for v in (0, 1):
+            asker.heard(1, v, Message(Topic.PROMISE, 0, ballot, 0, life), True)
+        assert (asker.stage is Stage.TAKING) == (life == 2)
+    for life in (1, 2):
+        for v in (0, 1):
+            asker.heard(2, v, Message(Topic.TAKEN, 0, ballot, 1, life), True)
+        assert (asker.token(2) == ballot) == (life == 2)
+
+
+def test_a_voter_that_woke_is_silent_until_others_told_it_what_it_forgot():
+    memory = Voter(0, 0, (0, 1, 2), TIMING)
+    assert memory.tick(10**9, 1) == []  # another process of its number may still vote
+    memory.begin(0, None)
+    assert [to for to, _ in memory.tick(0, 1)] == [1, 2]
+    memory.heard(0, 1, 1, Message(Topic.KNOWN, 0, B2, 1))
+    memory.heard(0, 2, 1, Message(Topic.KNOWN, 0, B1, 1))
+    memory.tick(TIMING.silence - 1, 1)
+    assert not memory.remembers and memory.heard(1, 5, 1, Message(Topic.ASK, 0, B1)) == []
+    memory.tick(TIMING.silence, 1)
+    assert memory.remembers and memory.promised == B2
+    forgotten = Voter(0, 0, (0, 1, 2), TIMING)
+    forgotten.begin(0, None)
+    forgotten.heard(0, 2, 1, Message(Topic.KNOWN, 0, B2, 0))
+    forgotten.tick(TIMING.silence, 77)  # two of three forgot: a new era
+    assert forgotten.promised == 77 << 32
+
+
+def test_memory_passes_to_the_next_process_of_a_number():
+    memory = voter()
+    memory.heard(100, 5, 1, Message(Topic.TAKE, 0, B1, 1))
+    left = memory.retire(100)
+    assert left is not None and memory.heard(100, 6, 1, Message(Topic.ASK, 0, B2)) == []
+    after = voter(left)
+    assert after.heard(LEASE - 1, 6, 1, Message(Topic.ASK, 0, B2))[0][1].topic is Topic.HELD
+    assert after.heard(LEASE, 6, 1, Message(Topic.ASK, 0, B2))[0][1].topic is Topic.PROMISE
+
+
+def member(number=0, members=3, voters=(0,), **changed):
+    plan = Plan(members, voters, TIMING, (Duty("report"), Duty("drain")), tuple(range(members)))
+    made = Duties(plan, number, 7, random.Random(1), **changed)
+    made.begin(0)
+    made.vote(0)
+    return made
+
+
+def drive(duties, until, step=50 * MS, begin=0):
+    notes = []
+    for at in range(begin, until, step):
+        notes += [a for a in duties.tick(at, 1) if isinstance(a, Note)]
+    return notes
+
+
+def test_one_voter_alone_holds_renews_moves_and_is_kept_free():
+    duties = member(members=1)
+    notes = drive(duties, 8 * SECOND)
+    assert {n.what for n in notes} == {"taken", "renewed"} and duties.token(8 * SECOND, 0)
+    assert duties.shown(8 * SECOND)[0] | {"left_ms": 0} == {
+        "duty": "report",
+        "here": True,
+        "holder": 0,
+        "token": duties.token(8 * SECOND, 0),
+        "left_ms": 0,
+        "stage": "holding",
+    }
+    left = duties.keep_free(8 * SECOND, True)
+    assert [n.reason for n in left if isinstance(n, Note)] == [Reason.RELEASED.value] * 2
+    assert not drive(duties, 14 * SECOND, begin=8 * SECOND) and not duties.holds()
+    assert duties.move(14 * SECOND, 0, 0) is None
+    duties.keep_free(14 * SECOND, False)
+    assert {n.what for n in drive(duties, 20 * SECOND, begin=14 * SECOND)} == {"taken", "renewed"}
+    duties.outbid(20 * SECOND, 0, 9 << 60)
+    assert duties.candidates[0].seen == 9 << 60
+
+
+def test_a_holder_that_its_loop_kept_from_looking_says_that_it_stalled():
+    duties = member(members=1)
+    drive(duties, 8 * SECOND)
+    assert duties.token(12 * SECOND, 0) is None  # asked at each act
+    left = [n for n in duties.tick(12 * SECOND, 1) if isinstance(n, Note)]
+    assert {n.reason for n in left} == {"stalled"} and duties.figures.late_ticks == 1
+
+
+@pytest.mark.parametrize("key", [None, b"sixteen bytes at least"])
+def test_datagrams_that_cannot_be_used_change_nothing_and_are_counted(key):
+    duties = member(number=0, voters=(0, 1, 2), key=key)
+    mine = Envelope(1, 9, 3, duties.plan.digest(), key)
+    good = mine.write(Topic.ASK, write(Message(Topic.ASK, 0, 1 << 10 | 1)))
+    drive(duties, 2 * TIMING.silence)
+    for v in duties.voters:
+        v.remembers = True
+    assert any(isinstance(a, Tell) for a in duties.heard(0, 1, good))
+    before = [vars(v).copy() for v in duties.voters]
+    other = Envelope(1, 9, 3, 12345, key).write(Topic.ASK, good[12:])
+    forged = Envelope(1, 9, 3, duties.plan.digest(), b"another key than theirs").write(Topic.ASK, good[12:33])
+    odd = [
+        b"",
+        good[:9],
+        good + b"x",
+        other,
+        mine.write(99, b""),
+        mine.write(Topic.ASK, b"short"),
+        b"\x03" * 300,
+    ]
+    odd += [forged] if key else []
+    for data in odd:
+        assert duties.heard(0, 1, data) == []
+    assert duties.heard(0, 2, good) == []  # from another's address
+    assert [vars(v) for v in duties.voters] == before
+    assert sum(duties.envelope.refused.values()) == len(odd) + 1
+
+
+@pytest.mark.parametrize("topic", list(Topic))
+def test_messages_come_back_as_they_were(topic):
+    message = Message(topic, 63, (1 << 64) - 1, 0xFFFFFFFF, 1 << 63)
+    assert read(topic, write(message)) == message
+    assert read(topic, write(message) + b"x") is None and read(0, write(message)) is None
+
+
+def plan(**changed):
+    given = {"members": 5, "voters": (0, 1, 2), "timing": TIMING, "duties": (Duty("a"),), "willing": (0, 1)}
+    return Plan(**(given | changed))
+
+
+@pytest.mark.parametrize(
+    ("changed", "field"),
+    [
+        ({}, None),
+        ({"voters": (0, 1)}, "voters"),
+        ({"voters": (0, 1, 5)}, "voters"),
+        ({"voters": (0, 1, 1)}, "voters"),
+        ({"willing": (7,)}, "willing"),
+        ({"willing": ()}, "willing"),
+        ({"duties": ()}, "duties"),
+        ({"duties": (Duty("a"), Duty("a"))}, "duties"),
+        ({"timing": Timing(10 * MS)}, "lease_ms"),
+        ({"timing": Timing(LEASE, margin=LEASE // 2)}, "lease_ms"),
+        ({"timing": Timing(LEASE, drift=0.5)}, "lease_ms"),
+    ],
+)
+def test_plans_that_cannot_work_are_named(changed, field):
+    fault = plan(**changed).fault()
+    assert (fault[0] if fault else None) == field
+
+
+def test_duties_are_spread_evenly_and_one_more_member_moves_few():
+    duties = tuple(Duty(f"d{n}") for n in range(40))
+    many = plan(members=20, duties=duties)
+    before = [o[0] for o in many.orders(tuple(range(10)))]
+    loads = [before.count(n) for n in range(10)]
+    assert max(loads) <= 4 and sum(loads) == 40
+    after = [o[0] for o in many.orders(tuple(range(11)))]
+    assert sum(a != b for a, b in zip(before, after, strict=True)) <= 12
+    zoned = plan(members=6, duties=(Duty("a", "west"),), zones=("east", "west") * 3)
+    assert zoned.orders(tuple(range(6)))[0][0] % 2 == 1
+
+
+@pytest.mark.parametrize("rate", [0.99, 1.0, 1.01])
+def test_the_lease_clock_and_the_machine_s(rate):
+    pace = Pace(5_000_000_000, rate)
+    now = pace.now(7_000_000_000)
+    assert now == pytest.approx(5_000_000 + 2_000_000 * rate, abs=2)
+    assert pace.machine_ns(now) == pytest.approx(7_000_000_000, abs=2_000)
--- /dev/null
+++ b/vetchusher/emulator/duties_explorer.py
@@ -0,0 +1,275 @@
+"""All interleavings of a small case of duties: three voters, two candidates, lost and late messages, a
+restart of a voter without memory, a stopped holder, a release.
+
+The state machines are the real ones, on one clock that advances in steps.  A message may be delivered at any
+later step, or never; so loss, lateness and reordering need no steps of their own.  States that were met are
+not explored again.  Breadth first: what is found is found by the shortest way there.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from vetchusher.duties.candidate import Candidate, Reason, Stage, Term
+from vetchusher.duties.lease import Timing
+from vetchusher.duties.messages import Message, Topic
+from vetchusher.duties.voter import Voter
+
+VOTERS, CANDIDATES = (0, 1, 2), (3, 4)
+TIMING = Timing(lease=24, drift=0.0, margin=0)
+STEP = 13  # of the clock: a lease has run out after two
+WALL_S = 1
+START_BALLOT = 7 << 32
+
+Sent = tuple[int, int, Message]  # from, to, what
+Shot = tuple[object, ...]  # a state as it is remembered
+
+
+class Chance(random.Random):
+    """Draws nothing: chance only shifts times, and all times are explored."""
+
+    def randrange(self, *args: int) -> int:  # type: ignore[override]
+        return 1
+
+    def __deepcopy__(self, memo: object) -> Chance:
+        return self
+
+
+CHANCE = Chance()
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """How much of each may still happen."""
+
+    steps: int = 4
+    restarts: int = 1
+    releases: int = 1
+
+
+@dataclass(slots=True)
+class State:
+    """One moment; `token` is the highest that any term had."""
+
+    at: int
+    voters: list[Voter]
+    candidates: list[Candidate]
+    sent: frozenset[Sent]
+    budget: Budget
+    token: int = START_BALLOT
+    lives: int = 1
+
+    def shot(self) -> Shot:
+        voters = tuple(
+            (
+                v.promised,
+                v.promised_to,
+                v.term,
+                v.term_of,
+                v.until,
+                v.remembers,
+                v.silent_until,
+                *v.told.items(),
+            )
+            for v in self.voters
+        )
+        candidates = tuple(
+            (
+                c.stage.value,
+                c.until,
+                c.due_at <= self.at,
+                c.give_up_at <= self.at,
+                c.seen,
+                c.taken_up_to,
+                c.term.ballot,
+                c.term.sequence,
+                frozenset(c.term.promised),
+                frozenset(c.term.sent.items()),
+                frozenset(c.term.acked.items()),
+            )
+            for c in self.candidates
+        )
+        return self.at, voters, candidates, self.sent, self.budget, self.token
+
+    def copy(self) -> State:
+        voters = [clone(v) for v in self.voters]
+        candidates = [clone(c) for c in self.candidates]
+        return State(self.at, voters, candidates, self.sent, self.budget, self.token, self.lives)
+
+    def wrong(self) -> str | None:
+        holders = [c for c in self.candidates if c.token(self.at) is not None]
+        if len(holders) > 1:
+            return "two holders may act"
+        for candidate in self.candidates:
+            for what, _, _ in candidate.changes:
+                if what == "taken":
+                    if candidate.term.ballot <= self.token:
+                        return "a token that is not above all earlier ones"
+                    self.token = candidate.term.ballot
+            candidate.changes.clear()
+        return None
+
+    def post(self, sender: int, out: list[tuple[int, Message]]) -> None:
+        self.sent |= {(sender, to, message) for to, message in out}
+
+
+def clone(thing: Any) -> Any:
+    made = object.__new__(type(thing))
+    made.__dict__.update(thing.__dict__)
+    if isinstance(made, Voter):
+        made.told = dict(made.told)
+    else:
+        term = made.term
+        made.term = Term(term.ballot, set(term.promised), dict(term.sent), dict(term.acked), term.sequence)
+        made.changes = list(made.changes)
+    return made
+
+
+def first() -> State:
+    """All voters remember an era; nobody holds."""
+    voters = [Voter(0, n, VOTERS, TIMING) for n in VOTERS]
+    for voter in voters:
+        voter.begin(0, (START_BALLOT, (-1, 0), 0, (-1, 0), 0))
+    candidates = [Candidate(0, n, 1, VOTERS, TIMING, CHANCE) for n in CANDIDATES]
+    for candidate in candidates:
+        candidate.seen = START_BALLOT
+    return State(0, voters, candidates, frozenset(), Budget())
+
+
+def held() -> State:
+    """The first candidate holds, by the votes of all; no message is on its way."""
+    state = first()
+    state.post(CANDIDATES[0], state.candidates[0].tick(0, True, False))
+    while state.sent:
+        how, state = next((h, s) for h, s in following(state) if " to " in h)
+    assert state.wrong() is None and state.candidates[0].stage is Stage.HOLDING
+    return state
+
+
+def contested() -> State:
+    """The same, once the holder's lease has run out: both may ask."""
+    state = held()
+    state.at += 2 * STEP
+    state.budget = Budget(steps=3)
+    return state
+
+
+STARTS = {"free": first, "held": held, "contested": contested}
+
+
+def following(state: State) -> Iterator[tuple[str, State]]:
+    """Every state that one step leads to."""
+    budget = state.budget
+    for sender, to, message in state.sent:
+        after = state.copy()
+        # A message may come twice; one delivered while it can still matter is delivered once here.
+        after.sent = state.sent - {(sender, to, message)}
+        if to in VOTERS:
+            after.post(to, after.voters[to].heard(state.at, sender, 1, message))
+        else:
+            candidate = after.candidates[to - CANDIDATES[0]]
+            after.post(to, candidate.heard(state.at, sender, message, True))
+        yield f"{sender} to {to}: {message.topic.name.lower()}", after
+    for place, candidate in enumerate(state.candidates):
+        if candidate.due_at <= state.at or (candidate.stage is Stage.HOLDING and state.at >= candidate.until):
+            after = state.copy()
+            after.post(CANDIDATES[place], after.candidates[place].tick(state.at, True, False))
+            yield f"tick of {CANDIDATES[place]}", after
+        if candidate.stage is Stage.HOLDING and budget.releases:
+            after = state.copy()
+            after.budget = Budget(budget.steps, budget.restarts, 0)
+            other = CANDIDATES[1 - place]
+            after.post(CANDIDATES[place], after.candidates[place].leave(state.at, Reason.RELEASED, other))
+            yield f"release by {CANDIDATES[place]}", after
+    if budget.restarts:
+        for number in VOTERS:
+            after = state.copy()
+            after.budget = Budget(budget.steps, budget.restarts - 1, budget.releases)
+            after.voters[number] = Voter(0, number, VOTERS, TIMING)
+            after.voters[number].begin(state.at, None)
+            yield f"restart of voter {number}", after
+    for number, voter in enumerate(state.voters):
+        if not voter.remembers:
+            after = state.copy()
+            if recalled(after, number):
+                yield f"voter {number} remembers", after
+    if budget.steps:
+        after = state.copy()
+        after.at += STEP
+        after.budget = Budget(budget.steps - 1, budget.restarts, budget.releases)
+        yield "time goes on", after
+
+
+def recalled(state: State, number: int) -> bool:
+    """A waking voter hears the others and votes again, if it may; the asking itself is not explored."""
+    voter = state.voters[number]
+    for other in state.voters:
+        if other.number != number:
+            known = Message(Topic.KNOWN, 0, other.promised, int(other.remembers))
+            voter.heard(state.at, other.number, 1, known)
+    voter.tick(state.at, WALL_S)
+    return voter.remembers
+
+
+@dataclass(slots=True, frozen=True)
+class Explored:
+    states: int
+    depth: int  # to which all states were seen
+    wrong: str = ""
+    way: tuple[str, ...] = ()
+
+
+def explore(most_states: int, most_depth: int = 1_000, begin: str = "free") -> Explored:
+    """All states by rounds, until one is wrong or the bound is met; nothing beyond it is claimed."""
+    start = STARTS[begin]()
+    met: dict[Shot, tuple[Shot | None, str]] = {start.shot(): (None, "")}
+    edge, depth = [start], 0
+    while edge and depth < most_depth:
+        further = []
+        for state in edge:
+            shot = state.shot()
+            for how, after in following(state):
+                wrong = after.wrong()
+                key = after.shot()
+                if key in met:
+                    continue
+                met[key] = (shot, how)
+                if wrong is not None:
+                    return Explored(len(met), depth, wrong, way(met, key))
+                if len(met) >= most_states:
+                    return Explored(len(met), depth)
+                further.append(after)
+        edge, depth = further, depth + 1
+    return Explored(len(met), depth)
+
+
+def way(met: dict[Shot, tuple[Shot | None, str]], key: Shot | None) -> tuple[str, ...]:
+    steps = []
+    while key is not None:
+        key, how = met[key]
+        steps.append(how)
+    return tuple(reversed(steps))[1:]
+
+
+def wander(walks: int, length: int, seed: int, begin: str = "free") -> Explored:
+    """Random walks through the same states, longer than all interleavings can be followed."""
+    rng, seen = random.Random(seed), 0
+    for _ in range(walks):
+        state, steps = STARTS[begin](), []
+        state.budget = Budget(steps=12, restarts=3, releases=2)
+        for _ in range(length):
+            choices = list(following(state))
+            if not choices:
+                break
+            times = [(h, s) for h, s in choices if h == "time goes on"]
+            if times and rng.random() < 0.9:
+                choices = [c for c in choices if c[0] != "time goes on"] or times
+            how, state = rng.choice(choices)
+            steps.append(how)
+            seen += 1
+            if (wrong := state.wrong()) is not None:
+                return Explored(seen, len(steps), wrong, tuple(steps))
+    return Explored(seen, length)
--- a/vetchusher/limits/codec.py
+++ b/vetchusher/limits/codec.py
@@ -113,10 +113,10 @@
     """
     flags = message.state | message.flags << 4
     head = _HEAD.pack(VERSION, flags, message.sender, message.life, message.sent_ms)
-    return _sealed(head + b"".join(entries), seal)
+    return sealed(head + b"".join(entries), seal)
 
 
-def _sealed(data: bytes, seal: Seal | None) -> bytes:
+def sealed(data: bytes, seal: Seal | None) -> bytes:
     """:raises ValueError: if it would be too long"""
     if seal is not None:
         data += seal(data)
@@ -125,7 +125,7 @@
     return data
 
 
-def _opened(data: bytes, least: int, seal: Seal | None) -> int:
+def opened(data: bytes, least: int, seal: Seal | None) -> int:
     """Where the content of a datagram ends, its seal checked.
 
     :param least: bytes of content that it must have
@@ -143,7 +143,7 @@
 
 def read(data: bytes, seal: Seal | None) -> Message:
     """:raises Unreadable: for whatever `write` with this seal has not made"""
-    end = _opened(data, _HEAD.size, seal)
+    end = opened(data, _HEAD.size, seal)
     version, mixed, sender, life, sent_ms = _HEAD.unpack_from(data)
     if version != VERSION:
         raise Unreadable(f"version {version} is not known here")
@@ -166,7 +166,7 @@
 
 def write_marks(sender: int, entries: Iterable[bytes], seal: Seal | None) -> bytes:
     """:raises ValueError: if it would be too long"""
-    return _sealed(_MARK_HEAD.pack(MARK_KIND[0], sender) + b"".join(entries), seal)
+    return sealed(_MARK_HEAD.pack(MARK_KIND[0], sender) + b"".join(entries), seal)
 
 
 def read_marks(data: bytes, now_ms: int, seal: Seal | None) -> tuple[int, list[tuple[int, int, int, float]]]:
@@ -174,7 +174,7 @@
 
     :raises Unreadable: for whatever `write_marks` with this seal has not made lately
     """
-    end = _opened(data, _MARK_HEAD.size, seal)
+    end = opened(data, _MARK_HEAD.size, seal)
     if (end - _MARK_HEAD.size) % _MARK.size:
         raise Unreadable(f"marks of {len(data)} bytes")
     kind, sender = _MARK_HEAD.unpack_from(data)
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -62,7 +62,6 @@
     return event.latency < PROMPT_PART * spec.aim
 
 
-
 class Quota:
     """Counts, pushes and the doubts about the counter."""
 
@@ -569,7 +568,6 @@
             self.light = worker
 
 
-
 @dataclass(slots=True)
 class Job:
     """One accepted request.  The legal moves of its effect class stand here and nowhere else."""
