--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build dev test lint run bench-counter-loss bench-counter-loss-sockets
+.PHONY: build dev test lint run bench-counter-loss bench-counter-loss-sockets bench-duties bench-duties-processes
 
 build:
 	sh deploy/build
@@ -13,7 +13,7 @@
 
 lint: dev
 	$(PYTHON) -m ruff check .
-	$(PYTHON) -m ruff format --check vetchusher/net vetchusher/limits vetchusher/membership vetchusher/fleet vetchusher/tier vetchusher/duties vetchusher/emulator vetchusher/settings benchmarks tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py tests/test_marks.py tests/test_membership.py tests/test_subset.py tests/test_console.py tests/test_upgrade.py tests/test_pieces.py tests/test_streamed.py tests/test_deployments.py tests/test_duties.py
+	$(PYTHON) -m ruff format --check vetchusher/net vetchusher/limits vetchusher/membership vetchusher/fleet vetchusher/tier vetchusher/duties vetchusher/emulator vetchusher/settings benchmarks tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py tests/test_marks.py tests/test_membership.py tests/test_subset.py tests/test_console.py tests/test_upgrade.py tests/test_pieces.py tests/test_streamed.py tests/test_deployments.py tests/test_duties.py tests/test_duties_processes.py
 	$(PYTHON) -m mypy
 
 run: build
@@ -24,3 +24,12 @@
 
 bench-counter-loss-sockets: dev
 	$(PYTHON) -m benchmarks.counter_loss sockets --seeds 1 --keep benchmarks/results/counter-loss-sockets.md
+
+bench-duties: dev
+	$(PYTHON) -m benchmarks.duties virtual --runs 200 --jobs 6 --keep benchmarks/results/duties-virtual.md
+	$(PYTHON) -m benchmarks.duties messages --keep benchmarks/results/duties-messages.md
+	$(PYTHON) -m benchmarks.duties explore --keep benchmarks/results/duties-explore.md
+	$(PYTHON) -m benchmarks.duties planted --jobs 6 --keep benchmarks/results/duties-planted.md
+
+bench-duties-processes: dev
+	$(PYTHON) -m benchmarks.duties processes --rounds 8 --jobs 4 --keep benchmarks/results/duties-processes.md
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -233,12 +233,14 @@
 
 
 @asynccontextmanager
-async def ingress(discovery, counter, known=None, ready=True, path="", told=None, tuning=None, **changed):
+async def ingress(
+    discovery, counter, known=None, ready=True, path="", told=None, tuning=None, fleet=None, **changed
+):
     """An ingress between these peers, past its first careful seconds."""
     port = free_port()
     places = [f"127.0.0.1:{p}" for p in (port, discovery.port, counter.port)]
     read = config.parse(orjson.dumps(tree(*places, known, **changed) | (told or {})))
-    node = Ingress(read, asyncio.get_running_loop(), str(path), tuning)
+    node = Ingress(read, asyncio.get_running_loop(), str(path), tuning, fleet)
     node.runtime.reducer.policy.fleet.shedding.shed = 0.0
     await node.start()
     try:
@@ -251,6 +253,8 @@
         await node.names.close()
         await node.instances.close()
         await node.counter.close()
+        if node.shared is not None:
+            await node.shared.close()
         node.peers.close()
         if node.console is not None:
             await node.console.close()
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -221,7 +221,7 @@
     assert duties.move(14 * SECOND, 0, 0) is None
     duties.keep_free(14 * SECOND, False)
     assert {n.what for n in drive(duties, 20 * SECOND, begin=14 * SECOND)} == {"taken", "renewed"}
-    duties.outbid(20 * SECOND, 0, 9 << 60)
+    duties.outbid(0, 9 << 60)
     assert duties.candidates[0].seen == 9 << 60
 
 
--- /dev/null
+++ b/tests/test_duties_processes.py
@@ -0,0 +1,232 @@
+"""Duties among real processes: faults between them, votes handed over, the calls of operators."""
+
+import asyncio
+import json
+import subprocess
+import sys
+
+import orjson
+import pytest
+from net_helpers import OK, run, stage, tree, until
+
+from vetchusher.duties import Duty, Plan, Timing
+from vetchusher.emulator.duties_audit import Holding, gaps, holdings, wrong
+from vetchusher.emulator.duties_rig import FAULTS, SinkServer, Tier
+from vetchusher.emulator.rig import listen
+from vetchusher.net import cli, fleet_cli, handover, votes
+from vetchusher.settings import SettingsError
+from vetchusher.settings.fleet import FleetSettings, read_fleet
+
+CALM = ("killed", "stopped 3 leases", "upgrade", "sigterm", "unheard", "all voters but one restarted")
+
+
+def test_one_holder_at_a_time_whatever_befalls_real_processes(tmp_path):
+    """Safety by the logs, whatever the machine is busy with; that somebody holds again, without a limit."""
+
+    async def script(tier):
+        await tier.until_held()
+        for kind in CALM:
+            await tier.fault(kind)
+            await tier.until_held()
+
+    async def scene():
+        return await Tier(tmp_path, lease_ms=1_000).run(script)
+
+    outcome = run(scene())
+    assert not outcome.wrong
+    assert len(outcome.faults) == len(CALM) and set(CALM) <= set(FAULTS)
+    assert len({h.token for h in outcome.held if h.duty == "report"}) >= 4 and outcome.periods
+
+
+def line(event, token, at, until=0, **more):
+    return json.dumps({"event": event, "duty": "d", "token": token, "at_ns": at, "until_ns": until} | more)
+
+
+GOOD = [
+    (1, 1, line("duty taken", 5, 100, 200)),
+    (1, 1, line("duty renewed", 5, 150, 300)),
+    (1, 1, line("duty left", 5, 250, reason="released")),
+    (2, 2, line("duty taken", 6, 260, 400)),
+    (2, 2, "not JSON"),
+]
+
+
+@pytest.mark.parametrize(
+    ("lines", "taken", "fault"),
+    [
+        (GOOD, [(1, 5), (2, 5), (4, 6)], None),
+        (GOOD[:2] + GOOD[3:], [], "both held for 0.0 ms"),  # it never left: held to 300
+        ([GOOD[0], (2, 2, line("duty taken", 6, 150, 400))], [], "both held"),
+        ([GOOD[0], (2, 2, line("duty taken", 5, 250, 400))], [], "token 5 of (2, 2) after 5"),
+        (GOOD, [(1, 6), (2, 5)], "token 5 was taken after 6"),
+        (GOOD, [(1, 5), (1, 6)], "period 1 was taken after 1"),
+    ],
+)
+def test_the_checker_finds_each_broken_rule(lines, taken, fault):
+    faults = wrong(holdings(lines), taken)
+    assert (fault is None and not faults) or fault in faults[0]
+
+
+def test_gaps_are_times_without_a_holder():
+    found = [Holding("d", (1, 1), 5, 0, 10), Holding("d", (2, 1), 6, 30, 40), Holding("d", (1, 2), 7, 40, 50)]
+    assert gaps(found, "d") == [(10, 20)]
+
+
+# ---- one process -------------------------------------------------------------------------
+
+ALONE = Plan(1, (0,), Timing(400_000), (Duty("report"), Duty("drain")), (0,))
+
+
+def told(console, port, members=1):
+    extra = {"peer_listen": f"127.0.0.1:{port}", "peers": [f"127.0.0.1:{port}"] * members}
+    return extra | {"console": f"127.0.0.1:{console}"}
+
+
+def test_holder_delivers_each_period_once_and_operators_see_and_move_it(tmp_path, monkeypatch, capsys):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+
+    async def scene():
+        from contextlib import AsyncExitStack
+
+        from net_helpers import free_port, settings
+
+        sink = SinkServer()
+        async with AsyncExitStack() as opened:
+            port = await listen(opened, sink.serve)
+            fleet = FleetSettings(ALONE, 1, f"http://127.0.0.1:{port}/r")
+            console = free_port()
+            limits = settings()["limits"] | {"peers": True}
+            given = told(console, free_port())
+            async with stage(lambda a: OK, told=given, fleet=fleet, limits=limits, balancers=1) as (
+                node,
+                _,
+                _,
+            ):
+                work = node.shared.work
+                await until(lambda: len(sink.taken) >= 2)
+                shown = work.shown(node.runtime.clock.now())
+                assert [d["holder"] for d in shown["duties"]] == [0, 0] and shown["remembers"]
+
+                async def fleet_call(*words):
+                    given = {w: w in words for w in ("duties", "report", "move", "free", "on", "off")}
+                    given |= {"--console": f"127.0.0.1:{console}", "DUTY": words[1] if len(words) > 1 else ""}
+                    given["NUMBER"] = words[2] if len(words) > 2 else ""
+                    code = await asyncio.to_thread(fleet_cli.fleet_command, given)
+                    return code, capsys.readouterr()
+
+                code, seen = await fleet_call("duties")
+                assert code == 0 and [json.loads(x)["duty"] for x in seen.out.splitlines()] == [
+                    "report",
+                    "drain",
+                ]
+                code, seen = await fleet_call("report")
+                assert code == 0 and json.loads(seen.out)["missing"] == []
+                for words, code, text in (
+                    (("move", "drain", "7"), 3, "ingress 7 is not willing"),
+                    (("move", "dance", "0"), 3, "no duty is named 'dance'"),
+                    (("move", "drain", "x"), 2, "not the number of an ingress: 'x'"),
+                    (("free", "on"), 0, ""),
+                    (("move", "drain", "0"), 3, "drain is not held here"),
+                ):
+                    got, seen = await fleet_call(*words)
+                    assert got == code and text in seen.err and seen.err.count("\n") == (code != 0)
+                assert not work.duties.holds()
+                assert (await fleet_call("free", "off"))[0] == 0
+                await until(work.duties.holds)
+        periods = [p for p, _ in sink.taken]
+        assert periods == sorted(set(periods))
+
+    run(scene())
+
+
+def test_votes_pass_to_the_next_process_once_and_only_one_holds_them(tmp_path, monkeypatch):
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+
+    class Runtime:
+        def __init__(self):
+            self.carriers, self.fed, self.loop = {}, [], self
+
+        def feed(self, event):
+            self.fed.append(event)
+            if isinstance(event, votes.fx.VoteEnds):
+                self.carriers[votes.fx.KeepMemory](votes.fx.KeepMemory([(5, (1, 2), 5, (1, 2), 70), None]))
+
+        def call_later(self, delay, what):
+            self.again = what
+
+    older, newer, third = Runtime(), Runtime(), Runtime()
+    first, second = votes.Votes(older, "n0", 9, ""), votes.Votes(newer, "n0", 9, "")
+    first.open()
+    assert older.fed == [votes.fx.VoteBegins(None)]
+    second.open()
+    assert not newer.fed  # the older one still votes
+    first.close()
+    newer.again()
+    assert newer.fed == [votes.fx.VoteBegins([(5, (1, 2), 5, (1, 2), 70), None])]
+    second.keep([None])
+    second.descriptor = votes.os.close(second.descriptor) or -1  # killed: its copy is out of date, not this
+    (tmp_path / "vetchusher-n0.votes.json").write_text("torn {")
+    last = votes.Votes(third, "n0", 9, "")
+    last.open()
+    assert third.fed == [votes.fx.VoteBegins(None)] and not list(tmp_path.glob("*.votes.json"))
+    last.close()
+
+
+@pytest.mark.parametrize(
+    "raw", [b"[]", b'{"format":"vetchusher-votes","version":2}', b'{"format":"x"}', b"{"]
+)
+def test_foreign_and_later_files_are_worth_nothing(tmp_path, raw):
+    path = tmp_path / "votes"
+    path.write_bytes(raw)
+    with pytest.raises(ValueError):
+        handover.read(path, handover.VOTES)
+
+
+# ---- settings ----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        ('{"voters": [0, 1], "duties": [{"name": "a"}]}', "voters: 2 of them"),
+        ('{"voters": [0, 1, 7], "duties": [{"name": "a"}]}', "voters: there is no ingress 7"),
+        ('{"voters": [0, 1, 2], "duties": [{"name": "A"}]}', "duties[0].name"),
+        ('{"voters": [0, 1, 2], "duties": []}', "duties: 0 of them"),
+        (
+            '{"voters": [0], "duties": [{"name": "a"}], "lease_ms": 60, "margin_ms": 40}',
+            "lease_ms: drift and",
+        ),
+        ('{"voters": [0], "duties": [{"name": "a"}], "report": {"sink": "http://h:1/"}}', "report.sink"),
+        (
+            '{"voters": [0], "duties": [{"name": "a"}], "report": {"sink": "http://127.0.0.1:1/"}}',
+            "report.sink: no duty is named report",
+        ),
+        ('{"voters": [0], "duties": [{"name": "a"}], "key_file": "none"}', "key_file"),
+        ('{"voters": [0], "duties": [{"name": "a"}], "unheard_of": 1}', "unheard_of"),
+    ],
+)
+def test_fleet_settings_that_cannot_be_used_are_named(tmp_path, text, place):
+    path = tmp_path / "fleet.json"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match="^[^\n]*$") as caught:
+        read_fleet(str(path), 5)
+    assert place in str(caught.value)
+
+
+def test_a_fleet_file_without_peers_is_one_line_and_a_code(tmp_path, capsys):
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(tree()))
+    assert cli.main(["check-config", "--config", str(path), "--fleet", "deploy/fleet.json"]) == 2
+    assert "needs settings.limits.peers" in capsys.readouterr().err
+
+
+def test_what_is_switched_off_is_not_loaded():
+    code = (
+        "import sys, vetchusher.net.cli; "
+        "sys.exit(any(m.startswith(('vetchusher.duties', 'vetchusher.tier')) for m in sys.modules))"
+    )
+    assert subprocess.run([sys.executable, "-c", code], timeout=60).returncode == 0
+
+
+def test_the_shipped_settings_are_usable():
+    assert read_fleet("deploy/fleet.json", 3).plan.fault() is None
--- a/vetchusher/duties/duties.py
+++ b/vetchusher/duties/duties.py
@@ -179,7 +179,7 @@
         self.note(candidate, acts)
         self.post(now, out, acts)
 
-    def outbid(self, now: int, duty: int, token: int) -> None:
+    def outbid(self, duty: int, token: int) -> None:
         """A target knows a higher token than ours: the next term must be above it."""
         self.candidates[duty].seen = max(self.candidates[duty].seen, token)
 
--- /dev/null
+++ b/vetchusher/duties/work.py
@@ -0,0 +1,164 @@
+"""What the reducer sees of the work that ingresses share: events in, effects out, on the program's clock."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from vetchusher import interface as api
+from vetchusher.tier import Pace
+
+from . import report
+from .duties import Act, Duties, Note, Tell
+from .plan import Plan
+from .voter import Memory
+
+TICKS = 48  # in a lease
+
+
+class Work:
+    """Duties and their first use, for one process.
+
+    :param anchor_us: of the program's clock over the machine's monotonic one
+    :param own: this ingress's figures, in the order of `report.NAMES`
+    """
+
+    def __init__(
+        self,
+        plan: Plan,
+        number: int,
+        life: int,
+        anchor_us: int,
+        started_ns: int,
+        rng: random.Random,
+        own: Callable[[], report.Figures],
+        key: bytes | None = None,
+        period_s: int = 10,
+        log_renewals: bool = False,
+        clock_rate: float = 1.0,
+    ) -> None:
+        self.duties = Duties(plan, number, life, rng, key)
+        self.pace = Pace(started_ns, clock_rate)
+        self.anchor_us = anchor_us
+        self.own = own
+        self.log_renewals = log_renewals
+        self.report = report.Report(number, plan.members, period_s)
+        names = [d.name for d in plan.duties]
+        self.report_duty = names.index("report") if "report" in names else -1
+        self.tick_us = max(1_000, plan.timing.lease // TICKS)
+
+    def lease_clock(self, now: int) -> int:
+        return self.pace.now((now - self.anchor_us) * 1000)
+
+    def begin(self, now: int) -> None:
+        self.duties.begin(self.lease_clock(now))
+
+    def tick(self, now: int) -> list[api.Action]:
+        at = self.lease_clock(now)
+        out = self.carried(self.duties.tick(at, now // 1_000_000))
+        if self.report_duty >= 0:
+            token = self.duties.token(at, self.report_duty)
+            missing, record = self.report.tick(at, now, token, self.own())
+            gathering = self.report.gathering
+            if missing and gathering is not None:
+                body = report.write_call(gathering.period, gathering.token)
+                call = self.duties.envelope.write(report.CALL, body)
+                out += [api.Say(call, n) for n in missing]
+            if record is not None:
+                out.append(api.Deliver(record.period, record.tree()))
+        return out
+
+    def heard(self, now: int, sender: int, data: bytes) -> list[api.Action]:
+        at = self.lease_clock(now)
+        letter = self.duties.envelope.read(sender, data)
+        if letter is None:
+            return []
+        if letter.topic == report.CALL:
+            return self.called(letter.sender, letter.body)
+        if letter.topic == report.FIGURES:
+            if not self.report.heard(letter.sender, letter.body):
+                self.duties.envelope.refuse("unreadable")
+            return []
+        acts: list[Act] = []
+        self.duties.letter(at, letter, acts)
+        return self.carried(acts)
+
+    def called(self, sender: int, body: bytes) -> list[api.Action]:
+        """Tell the holder of the report this ingress's figures; whoever calls is told them."""
+        call = report.read_call(body)
+        if call is None:
+            self.duties.envelope.refuse("unreadable")
+            return []
+        figures = report.write_figures(call[0], self.own())
+        return [api.Say(self.duties.envelope.write(report.FIGURES, figures), sender)]
+
+    def permits(self, now: int, token: int) -> bool:
+        """Whether the report may be delivered with this token now; to be asked at each sending."""
+        return self.duties.token(self.lease_clock(now), self.report_duty) == token
+
+    def delivered(self, now: int, period: int, known: int, token: int) -> None:
+        """The sink answered: the highest period and token that it has seen."""
+        self.report.delivered(period, known)
+        if self.report_duty >= 0:
+            self.duties.outbid(self.report_duty, token)
+
+    def stop(self, now: int) -> list[api.Action]:
+        return self.carried(self.duties.stop(self.lease_clock(now)))
+
+    def vote(self, now: int, memory: list[Memory | None] | None) -> None:
+        self.duties.vote(self.lease_clock(now), memory)
+
+    def retire(self, now: int) -> list[Memory | None]:
+        return self.duties.retire(self.lease_clock(now))
+
+    def keep_free(self, now: int, free: bool) -> list[api.Action]:
+        return self.carried(self.duties.keep_free(self.lease_clock(now), free))
+
+    def move(self, now: int, name: str, to: int) -> tuple[str, list[api.Action]]:
+        """By hand: hand a duty on; a reason why not, or an empty one."""
+        names = [d.name for d in self.duties.plan.duties]
+        if name not in names:
+            return f"no duty is named {name[:40]!r}", []
+        if to not in self.duties.plan.willing:
+            return f"ingress {to} is not willing", []
+        acts = self.duties.move(self.lease_clock(now), names.index(name), to)
+        if acts is None:
+            row = self.duties.shown(self.lease_clock(now))[names.index(name)]
+            return f"{name} is not held here but by {row['holder']}", []
+        return "", self.carried(acts)
+
+    def shown(self, now: int) -> dict[str, object]:
+        """For `GET /api/duties`."""
+        duties, figures = self.duties, self.duties.figures
+        return {
+            "number": duties.number,
+            "voter": duties.number in duties.plan.voters,
+            "remembers": bool(duties.voters) and all(v.remembers for v in duties.voters),
+            "kept_free": duties.kept_free,
+            "sent": figures.sent,
+            "heard": figures.heard,
+            "late_ticks": figures.late_ticks,
+            "refused": dict(duties.envelope.refused),
+            "duties": duties.shown(self.lease_clock(now)),
+        }
+
+    def carried(self, acts: list[Act]) -> list[api.Action]:
+        out: list[api.Action] = []
+        for act in acts:
+            if isinstance(act, Tell):
+                out.append(api.Say(act.data, act.to))
+            elif act.what != "renewed" or self.log_renewals:
+                out.append(self.line(act))
+        return out
+
+    def line(self, note: Note) -> api.Log:
+        facts: dict[str, object] = {
+            "duty": note.duty,
+            "token": note.token,
+            "at_ns": self.pace.machine_ns(note.at),
+        }
+        if note.until:
+            facts["until_ns"] = self.pace.machine_ns(note.until)
+        if note.reason:
+            facts["reason"] = note.reason
+        return api.Log(f"duty {note.what}", facts)
--- a/vetchusher/emulator/network.py
+++ b/vetchusher/emulator/network.py
@@ -33,6 +33,11 @@
     bytes: int = 0
     inbox: dict[int, float] = field(default_factory=dict)
 
+    def arrivals(self, now: int, sender: int, receiver: int, size: int) -> list[int]:
+        """The times (us) at which it arrives: none or one."""
+        at = self.arrival(now, sender, receiver, size)
+        return [] if at is None else [at]
+
     def arrival(self, now: int, sender: int, receiver: int, size: int) -> int | None:
         """The time (us) of its arrival, or None."""
         self.sent += 1
--- a/vetchusher/emulator/rig.py
+++ b/vetchusher/emulator/rig.py
@@ -5,12 +5,10 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
 import random
 import signal
 import socket
-import sys
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,6 +18,7 @@
 from .deployments import FIRST
 from .messages import free_port, read_message, write_answer
 from .network import Datagrams
+from .processes import Processes
 from .sockets import CounterServer, DatagramPath, Timeline
 from .virtual import Outage, Scene
 
@@ -173,7 +172,7 @@
         self.asks = draw_asks(rng, self.firms, scene.ingresses, scene.length)
         self.ports = [free_port(socket.SOCK_STREAM) for _ in range(scene.ingresses)]
         self.hearing = [("127.0.0.1", free_port(socket.SOCK_DGRAM)) for _ in range(scene.ingresses)]
-        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.processes = Processes(folder)
         self.clients = [Client() for _ in range(scene.ingresses)]
         self.servers = ShareServers()
         self.statuses: dict[str, int] = {}
@@ -200,7 +199,7 @@
             path = await opened.enter_async_context(DatagramPath(datagrams, timeline, self.hearing).open())
             for n in range(scene.ingresses):
                 self.configure(n, discovery.port, counters[n].port, path)
-            opened.push_async_callback(self.stop)
+            opened.push_async_callback(self.processes.end_all)
             await asyncio.gather(*(self.start(n) for n in range(scene.ingresses)))
             await asyncio.sleep(1.5)  # past the careful first seconds
             timeline.begun_ns = Timeline().begun_ns
@@ -217,7 +216,7 @@
             model.calls / asked,
             datagrams.bytes / asked,
             sum(status == 0 for status in self.statuses.values()),
-            tuple(self.log_lines()),
+            tuple(f"n{n} {line}" for n, _, line in self.processes.lines()),
         )
 
     def configure(self, n: int, discovery: int, counter: int, path: DatagramPath) -> None:
@@ -233,30 +232,19 @@
             "known": json.loads(name_table(self.servers.ports)),
             "settings": settings(n, self.scene.ingresses, self.scene.peers),
         }
-        (self.folder / f"n{n}.json").write_text(json.dumps(told))
+        self.processes.configure(n, told)
 
     async def start(self, n: int) -> None:
-        command = [sys.executable, "-m", "vetchusher", "serve", "--config", str(self.folder / f"n{n}.json")]
-        with open(self.folder / f"n{n}.log", "ab") as log:
-            self.processes[n] = await asyncio.create_subprocess_exec(
-                *command, stdout=log, stderr=log, env=dict(os.environ)
-            )
+        await self.processes.start(n)
         async with asyncio.timeout(READY_S):
             head = b"GET /health/ready HTTP/1.1\r\nHost: rig\r\n\r\n"
             while await self.clients[n].ask(self.ports[n], head) != 200:
                 await asyncio.sleep(0.02)
 
     async def kill(self, n: int) -> None:
-        process = self.processes.pop(n, None)
-        if process is not None and process.returncode is None:
-            process.send_signal(signal.SIGKILL)
-            await process.wait()
+        await self.processes.kill(n)
         self.clients[n].drop()
 
-    async def stop(self) -> None:
-        for n in list(self.processes):
-            await self.kill(n)
-
     async def outage(self, timeline: Timeline, outage: Outage) -> None:
         await timeline.until(outage.dies)
         await self.kill(outage.ingress)
@@ -275,7 +263,7 @@
     async def ask(self, number: int, ask: Ask) -> None:
         firm = ask.firm
         doors = [ask.door, *((firm.first + k) % self.scene.ingresses for k in range(firm.doors))]
-        door = next((d for d in doors if d in self.processes), ask.door)
+        door = next((d for d in doors if self.processes.alive(d)), ask.door)
         head = (
             f"GET /read-shares HTTP/1.1\r\nHost: rig\r\nRequest-Id: {request_id(number)}\r\n"
             f"Api-Plan: {firm.plan.name}\r\nApi-Customer: {firm.customer:016x}\r\n"
@@ -284,12 +272,6 @@
         )
         self.statuses[request_id(number)] = await self.clients[door].ask(self.ports[door], head.encode())
 
-    def log_lines(self) -> list[str]:
-        lines = []
-        for n in range(self.scene.ingresses):
-            lines += [f"n{n} {line}" for line in (self.folder / f"n{n}.log").read_text().splitlines()]
-        return lines
-
 
 def request_id(number: int) -> str:
     return f"{number:016x}"
--- a/vetchusher/emulator/sockets.py
+++ b/vetchusher/emulator/sockets.py
@@ -13,6 +13,7 @@
 from .counter import Answer, Counter, Reply
 from .faults import FaultKind
 from .network import Datagrams
+from .paths import Paths
 
 MOST_CONNECTIONS = 32  # of one address; further ones are reset
 MOST_HEAD = 8 * 1024
@@ -169,7 +170,9 @@
     from the other's leg for it.
     """
 
-    def __init__(self, model: Datagrams, timeline: Timeline, listeners: list[tuple[str, int]]) -> None:
+    def __init__(
+        self, model: Datagrams | Paths, timeline: Timeline, listeners: list[tuple[str, int]]
+    ) -> None:
         self.model = model
         self.timeline = timeline
         self.listeners = listeners
@@ -201,8 +204,7 @@
 
     def passed(self, sender: int, receiver: int, data: bytes) -> None:
         now = self.timeline.now()
-        at = self.model.arrival(now, sender, receiver, len(data))
-        if at is not None:
+        for at in self.model.arrivals(now, sender, receiver, len(data)):
             delay = max(0, at - now) / 1e6
             asyncio.get_running_loop().call_later(delay, self.deliver, sender, receiver, data)
 
--- a/vetchusher/interface.py
+++ b/vetchusher/interface.py
@@ -280,4 +280,12 @@
     peer: int | None = None
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Count | SubscribeFleet | FetchFleet | Log | Say
+@dataclass(slots=True)
+class Deliver:
+    """Send the fleet's report of one period to its sink."""
+
+    period: int
+    record: dict[str, object]
+
+
+Action = Send | Refuse | Fail | Cancel | SetTimer | Count | SubscribeFleet | FetchFleet | Log | Say | Deliver
--- a/vetchusher/net/cli.py
+++ b/vetchusher/net/cli.py
@@ -1,20 +1,28 @@
 """vetchusher: an ingress that admits by plan and routes to share servers.
 
 Usage:
-  vetchusher serve [--config FILE] [--limits FILE]
-  vetchusher check-config [--config FILE] [--limits FILE]
+  vetchusher serve [--config FILE] [--limits FILE] [--fleet FILE]
+  vetchusher check-config [--config FILE] [--limits FILE] [--fleet FILE]
+  vetchusher fleet (duties | report) --console ADDRESS
+  vetchusher fleet move DUTY NUMBER --console ADDRESS
+  vetchusher fleet free (on | off) --console ADDRESS
   vetchusher version
   vetchusher (-h | --help)
 
 Commands:
   serve         Run one ingress in the foreground until SIGTERM; SIGHUP reads the configuration again.
   check-config  Read the configuration, say what it holds, and end.
+  fleet         Ask an ingress's second address: which duties are held where, the last report of the fleet;
+                hand a duty that it holds to another ingress; keep it free of duties. Tables on a terminal,
+                JSON Lines to a pipe; code 3 where the ingress says no.
   version       Print the version.
 
 Options:
   --config FILE  The configuration; without it, the file that NODE_CONFIG names.
   --limits FILE  How quotas are kept while the counter fails, as in deploy/limits.json; without it, by the
                  figures of that file.
+  --fleet FILE   What the ingresses of the tier do together, as in deploy/fleet.json; without it, nothing.
+  --console ADDRESS  The second address of an ingress, as HOST:PORT.
 """
 
 from __future__ import annotations
@@ -23,6 +31,7 @@
 import gc
 import os
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 from docopt import docopt
@@ -35,12 +44,17 @@
 from .ingress import Ingress
 from .logs import start_logging
 
+if TYPE_CHECKING:
+    from vetchusher.settings.fleet import FleetSettings
 
-async def serve(config: configuration.Config, path: str, tuning: Tuning | None) -> None:
+
+async def serve(
+    config: configuration.Config, path: str, tuning: Tuning | None, fleet: FleetSettings | None
+) -> None:
     # What start-up made lives as long as the process: the collector need not walk it again and again.
     gc.collect()
     gc.freeze()
-    await Ingress(config, asyncio.get_running_loop(), path, tuning).run()
+    await Ingress(config, asyncio.get_running_loop(), path, tuning, fleet).run()
 
 
 def read_tuning(path: str | None) -> Tuning | None:
@@ -52,8 +66,24 @@
     return read_limits(path)
 
 
+def read_fleet_file(path: str | None, config: configuration.Config) -> FleetSettings | None:
+    if not path:
+        return None
+    from vetchusher.settings.fleet import read_fleet
+
+    if not config.settings.peers:
+        raise configuration.ConfigError(
+            f"{path}: needs settings.limits.peers, peer_listen and an address in peers for each ingress"
+        )
+    return read_fleet(path, config.settings.gateways)
+
+
 def main(argv: list[str]) -> int:
     given = docopt(__doc__, argv)
+    if given["fleet"]:
+        from .fleet_cli import fleet_command
+
+        return fleet_command(given)
     if given["version"]:
         print(f"vetchusher {__version__}")
         return 0
@@ -63,6 +93,7 @@
             raise configuration.ConfigError("no configuration: give --config or set NODE_CONFIG")
         config = configuration.load(path, os.environ)
         tuning = read_tuning(given["--limits"])
+        fleet = read_fleet_file(given["--fleet"], config)
         if given["check-config"]:
             classes = ", ".join(c.name for c in config.settings.classes)
             plans = ", ".join(p.name for p in config.settings.plans)
@@ -70,9 +101,14 @@
             print(f"{config.name}: listens at {host}:{port}; classes {classes}; plans {plans}")
             sealed = "sealed" if tuning is not None and tuning.key is not None else "not sealed"
             print(f"messages between ingresses: {sealed if config.settings.peers else 'off'}")
+            if fleet is not None:
+                voters = ", ".join(map(str, fleet.plan.voters))
+                duties = ", ".join(d.name for d in fleet.plan.duties)
+                held = fleet.plan.timing.replaced // 1000
+                print(f"duties {duties}; voters {voters}; a lost holder is replaced within {held} ms")
             return 0
         start_logging()
-        uvloop.run(serve(config, path, tuning))
+        uvloop.run(serve(config, path, tuning, fleet))
     except (configuration.ConfigError, SettingsError) as err:
         print(f"vetchusher: {err}", file=sys.stderr)
         return 2
--- a/vetchusher/net/console.py
+++ b/vetchusher/net/console.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -19,6 +20,9 @@
 from .reducer import Tally
 from .runtime import Runtime
 
+if TYPE_CHECKING:
+    from .shared import Shared
+
 log = logging.getLogger("vetchusher")
 
 CALL_S = 0.8  # a caller waits 1 s: a call not whole by then is closed, so that it holds no place
@@ -27,6 +31,13 @@
 MOST_BODY = 1024  # bytes of a call's body: a name and its braces
 PREFIX = "edge_node"
 CALLS = {"/api/ready": "GET", "/api/telemetry": "GET", "/api/exclude": "PUT", "/api/include": "PUT"}
+# Where the ingresses of the tier work together.
+SHARED_CALLS = {
+    "/api/duties": "GET",
+    "/api/report": "GET",
+    "/api/duties/move": "PUT",
+    "/api/duties/free": "PUT",
+}
 
 
 class CallError(Exception):
@@ -70,13 +81,18 @@
     return parts[0], parts[1].partition("?")[0], length
 
 
-def read_name(body: bytes) -> str:
-    """The `name` of `{"name": "ID"}`; raises CallError where it is not there."""
+def read_object(body: bytes) -> dict[str, Any]:
+    """The object that a body holds; raises CallError where it is none."""
     try:
         tree = orjson.loads(body)
     except orjson.JSONDecodeError:
         raise CallError(400, 'the body is not JSON: send {"name":"ID"}') from None
-    name = tree.get("name") if isinstance(tree, dict) else None
+    return tree if isinstance(tree, dict) else {}
+
+
+def read_name(body: bytes) -> str:
+    """The `name` of `{"name": "ID"}`; raises CallError where it is not there."""
+    name = read_object(body).get("name")
     if not isinstance(name, str) or not name:
         raise CallError(400, 'the body names no share server: send {"name":"ID"}')
     return name
@@ -109,7 +125,8 @@
         self.gauges = gauges
         self.server: asyncio.Server | None = None
         self.callers: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
-        self.answers: dict[int, bool] = {}
+        self.answers: dict[int, fx.Answered] = {}
+        self.shared: Shared | None = None
         self.calls = 0
 
     async def open(self, host: str, port: int) -> None:
@@ -117,7 +134,7 @@
         self.server = await asyncio.start_server(self.enter, host, port, limit=MOST_HEAD, backlog=64)
 
     def answered(self, effect: fx.Answered) -> None:
-        self.answers[effect.call] = effect.yes
+        self.answers[effect.call] = effect
 
     async def enter(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
@@ -153,7 +170,7 @@
             return err.status, f"{err}\n".encode()
 
     def answer(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
-        allowed = CALLS.get(path)
+        allowed = (CALLS if self.shared is None else CALLS | SHARED_CALLS).get(path)
         if allowed is None:
             raise CallError(404, f"no such call: {path[:60]}")
         if method != allowed:
@@ -163,15 +180,41 @@
             return (200, b"ready\n") if reducer.ready else (503, b"not ready\n")
         if path == "/api/telemetry":
             return 200, telemetry(reducer.tally, reducer.settings.classes, self.gauges())
+        if self.shared is not None and path in SHARED_CALLS:
+            return self.answer_shared(self.shared, path, body)
         name = read_name(body)
-        self.calls += 1
-        call = self.calls
-        self.runtime.feed(fx.MaintenanceAsked(call, instance_number(name), path == "/api/exclude"))
-        if self.answers.pop(call, False):
+        number = instance_number(name)
+        if self.ask(lambda call: fx.MaintenanceAsked(call, number, path == "/api/exclude")).yes:
             log.info("%s %s", path.removeprefix("/api/"), name)
             return 200, b"yes\n"
         return 404, f"no share server {name[:60]!r} is known here\n".encode()
 
+    def ask(self, event: Callable[[int], fx.Event]) -> fx.Answered:
+        """Put a question to the reducer, which answers while it takes in the event."""
+        self.calls += 1
+        self.runtime.feed(event(self.calls))
+        return self.answers.pop(self.calls, fx.Answered(self.calls, False, "it could not be answered"))
+
+    def answer_shared(self, shared: Shared, path: str, body: bytes) -> tuple[int, bytes]:
+        if path == "/api/duties":
+            return 200, orjson.dumps(shared.shown()) + b"\n"
+        if path == "/api/report":
+            last = shared.sink.last
+            return (200, orjson.dumps(last) + b"\n") if last else (404, b"no report was made here\n")
+        tree = read_object(body)
+        if path == "/api/duties/move":
+            name, to = tree.get("name"), tree.get("to")
+            if not isinstance(name, str) or not isinstance(to, int):
+                raise CallError(400, 'send {"name":"DUTY","to":NUMBER}')
+            answered = self.ask(lambda call: fx.WorkAsked(call, "move", name, to))
+        else:
+            free = tree.get("free")
+            if not isinstance(free, bool):
+                raise CallError(400, 'send {"free":true} or {"free":false}')
+            answered = self.ask(lambda call: fx.WorkAsked(call, "free", free=free))
+        log.info("%s %s", path.removeprefix("/api/"), "yes" if answered.yes else answered.why)
+        return (200, b"yes\n") if answered.yes else (409, f"{answered.why}\n".encode())
+
     async def close(self) -> None:
         if self.server is not None:
             self.server.close()
--- a/vetchusher/net/effects.py
+++ b/vetchusher/net/effects.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from vetchusher import interface as api
 
@@ -85,6 +86,38 @@
     exclude: bool
 
 
+@dataclass(slots=True)
+class VoteBegins:
+    """No other process of this ingress votes any more; `memory`: what the one before it left, by duty."""
+
+    memory: list[Any] | None
+
+
+@dataclass(slots=True)
+class VoteEnds:
+    """This process is about to end: it votes no more."""
+
+
+@dataclass(slots=True)
+class WorkAsked:
+    """An operator's call about duties: `move` one to another ingress, or `free` this one of them."""
+
+    call: int
+    verb: str
+    name: str = ""
+    to: int = 0
+    free: bool = False
+
+
+@dataclass(slots=True)
+class ReportAnswered:
+    """The sink's word on a delivered period: the highest period and token that it has seen."""
+
+    period: int
+    known: int
+    token: int
+
+
 Event = (
     CommandArrived
     | AttemptOver
@@ -96,6 +129,10 @@
     | CounterReplied
     | StopAsked
     | MaintenanceAsked
+    | VoteBegins
+    | VoteEnds
+    | WorkAsked
+    | ReportAnswered
 )
 
 
@@ -164,6 +201,22 @@
 
     call: int
     yes: bool
+    why: str = ""
+
+
+@dataclass(slots=True)
+class DeliverReport:
+    """Send one period's record to the sink."""
+
+    period: int
+    record: dict[str, Any]
+
+
+@dataclass(slots=True)
+class KeepMemory:
+    """Keep what this voter remembers where the next process of this ingress finds it."""
+
+    memory: list[Any]
 
 
 @dataclass(slots=True)
@@ -185,4 +238,6 @@
     | WriteLog
     | Answered
     | KeepExclusions
+    | KeepMemory
+    | DeliverReport
 )
--- a/vetchusher/net/handover.py
+++ b/vetchusher/net/handover.py
@@ -1,7 +1,8 @@
-"""What one process of an ingress leaves to the next in `$TMPDIR`: the instances excluded by hand.
+"""What one process of an ingress leaves to the next in `$TMPDIR`: the instances excluded by hand, and what it
+remembers as a voter.
 
-The file is versioned and written whole (to a new name, then renamed). A missing, torn or foreign file is
-ignored with one log line: the ingress starts with nothing excluded rather than not at all.
+Each file is versioned and written whole (to a new name, then renamed). A missing, torn or foreign file is
+ignored with one log line: the ingress starts with nothing of it rather than not at all.
 """
 
 from __future__ import annotations
@@ -9,44 +10,57 @@
 import logging
 import os
 import pathlib
+from typing import Any
 
 import orjson
 
 log = logging.getLogger("vetchusher")
 
-FORMAT, VERSION = "vetchusher-exclusions", 1
+VERSION = 1
+EXCLUSIONS, VOTES = "exclusions", "votes"
 
 
-def place(name: str) -> pathlib.Path | None:
-    """Where the node of that name keeps its exclusions; None where `$TMPDIR` is not set."""
+def place(name: str, what: str = EXCLUSIONS) -> pathlib.Path | None:
+    """Where the node of that name keeps something; None where `$TMPDIR` is not set."""
     folder = os.environ.get("TMPDIR")
-    return pathlib.Path(folder) / f"vetchusher-{name or 'node'}.exclusions.json" if folder else None
+    return pathlib.Path(folder) / f"vetchusher-{name or 'node'}.{what}.json" if folder else None
 
 
-def keep(path: pathlib.Path | None, workers: tuple[int, ...]) -> None:
+def write(path: pathlib.Path | None, what: str, content: dict[str, Any]) -> None:
     if path is None:
         return
-    raw = orjson.dumps({"format": FORMAT, "version": VERSION, "excluded": list(workers)})
+    raw = orjson.dumps({"format": f"vetchusher-{what}", "version": VERSION} | content)
     fresh = path.with_name(f"{path.name}.{os.getpid()}")
     try:
         fresh.write_bytes(raw)
         fresh.replace(path)
     except OSError as err:
-        log.error("exclusions not kept for the next process: %s", err.strerror)
+        log.error("%s not kept for the next process: %s", what, err.strerror)
+
+
+def read(path: pathlib.Path | None, what: str) -> dict[str, Any]:
+    """:raises OSError, ValueError: where the file is not one of ours and whole; no file is an empty one"""
+    if path is None or not path.exists():
+        return {}
+    tree = orjson.loads(path.read_bytes())
+    if not isinstance(tree, dict):
+        raise ValueError("no object")
+    if tree.get("format") != f"vetchusher-{what}" or tree.get("version") != VERSION:
+        raise ValueError(f"not vetchusher-{what} version {VERSION}")
+    return tree
+
+
+def keep(path: pathlib.Path | None, workers: tuple[int, ...]) -> None:
+    write(path, EXCLUSIONS, {"excluded": list(workers)})
 
 
 def take(path: pathlib.Path | None) -> frozenset[int]:
     """The exclusions an earlier process left; nothing where there is no usable file."""
-    if path is None or not path.exists():
-        return frozenset()
     try:
-        tree = orjson.loads(path.read_bytes())
-        if tree.get("format") != FORMAT or tree.get("version") != VERSION:
-            raise ValueError(f"not {FORMAT} version {VERSION}")
-        workers = tree["excluded"]
+        workers = read(path, EXCLUSIONS).get("excluded", [])
         if not all(isinstance(w, int) and w >= 0 for w in workers):
             raise ValueError("an id is not a number")
         return frozenset(workers)
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as err:
-        log.warning("exclusions of %s ignored: %s", path.name, err)
+    except (OSError, ValueError, TypeError) as err:
+        log.warning("exclusions of %s ignored: %s", path.name if path else "", err)
         return frozenset()
--- a/vetchusher/net/ingress.py
+++ b/vetchusher/net/ingress.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import signal
+from typing import TYPE_CHECKING
 
 from vetchusher.limits import Tuning
 from vetchusher.policy import AdmissionPolicy
@@ -23,6 +24,11 @@
 from .runtime import Runtime
 from .server import ServiceClients
 
+if TYPE_CHECKING:
+    from vetchusher.settings.fleet import FleetSettings
+
+    from .shared import Shared
+
 log = logging.getLogger("vetchusher")
 
 # The front goes on for up to 0.4 s after SIGTERM to open connections and use the ones it has.
@@ -32,8 +38,14 @@
 
 class Ingress:
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, path: str = "", tuning: Tuning | None = None
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        path: str = "",
+        tuning: Tuning | None = None,
+        fleet: FleetSettings | None = None,
     ) -> None:
+        """:param fleet: what the ingresses of the tier do together; none where it is off"""
         self.config = config
         self.path = path  # where the configuration is read again
         self.loop = loop
@@ -54,6 +66,12 @@
             self.runtime, config.peer_listen, config.peers, config.peers_all, settings.peer_in_per_s
         )
         self.runtime.attach(self.clients, self.instances, self.counter, self.peers)
+        self.shared: Shared | None = None
+        if fleet is not None:
+            # Loaded where it is switched on only.
+            from .shared import Shared
+
+            self.shared = Shared(self.runtime, config, fleet, rng, path)
         self.console: Console | None = None
         if config.console is not None:
             self.console = Console(self.runtime, self.gauges)
@@ -93,6 +111,10 @@
         await self.peers.open()
         self.clients.door.open(*self.config.listen, self.config.socket_fd)
         self.names.start(self.config.known)
+        if self.shared is not None:
+            self.shared.open()
+            if self.console is not None:
+                self.console.shared = self.shared
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -117,6 +139,8 @@
         await self.names.close()
         await self.instances.close()
         await self.counter.close()
+        if self.shared is not None:
+            await self.shared.close()
         self.peers.close()
         if self.console is not None:
             await self.console.close()
--- a/vetchusher/net/reducer.py
+++ b/vetchusher/net/reducer.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any, Protocol
 
 from vetchusher import interface as api
 from vetchusher.fleet.maintenance import Exclusions
@@ -17,6 +18,32 @@
 
 NACK_WAIT_US = 200_000  # when those shall come back that find the ingress full or without a name table
 RETRY_TIMER_US = 100_000  # a timer whose handling failed comes again after this
+WORK_TOKEN = 8 << 60  # the module's tokens are below it
+
+
+WORK_KIND = b"\x03"  # first byte of the messages that are not about quotas
+
+
+class Work(Protocol):
+    """What the reducer needs of the work that ingresses share: `vetchusher.duties.work.Work`."""
+
+    tick_us: int
+
+    def tick(self, now: int) -> list[api.Action]: ...
+
+    def heard(self, now: int, sender: int, data: bytes) -> list[api.Action]: ...
+
+    def stop(self, now: int) -> list[api.Action]: ...
+
+    def vote(self, now: int, memory: list[Any] | None) -> None: ...
+
+    def retire(self, now: int) -> list[Any]: ...
+
+    def delivered(self, now: int, period: int, known: int, token: int) -> None: ...
+
+    def move(self, now: int, name: str, to: int) -> tuple[str, list[api.Action]]: ...
+
+    def keep_free(self, now: int, free: bool) -> list[api.Action]: ...
 
 
 @dataclass(slots=True)
@@ -52,7 +79,10 @@
         settings: api.Settings,
         most_commands: int,
         excluded: frozenset[int] = frozenset(),
+        work: Work | None = None,
     ) -> None:
+        """:param work: what the ingresses of the tier do together; none where it is off"""
+        self.work = work
         self.policy = policy
         self.settings = settings
         self.most_commands = most_commands
@@ -86,13 +116,19 @@
             self.attempt_over(now, event, done)  # type: ignore[arg-type]
         elif kind is fx.TimerDue:
             token = event.token  # type: ignore[union-attr]
-            if not self.decide(now, api.TimerFired(token), done):
+            if token == WORK_TOKEN and self.work is not None:
+                done.append(fx.WakeAt(now + self.work.tick_us, WORK_TOKEN))
+                self.carry(now, self.work.tick(now), done)
+            elif not self.decide(now, api.TimerFired(token), done):
                 # Danger: the module's tick sets itself anew; lost once, no quota would be pushed again.
                 done.append(fx.WakeAt(now + RETRY_TIMER_US, token))
         elif isinstance(event, fx.CounterReplied):
             self.decide(now, api.CounterAnswered(event.name, event.outcome, event.latency, event.total), done)
         elif isinstance(event, fx.PeerSpoke):
-            self.decide(now, api.PeerMessage(event.peer, event.data), done)
+            if self.work is not None and event.data[:1] == WORK_KIND:
+                self.carry(now, self.work.heard(now, event.peer, event.data), done)
+            else:
+                self.decide(now, api.PeerMessage(event.peer, event.data), done)
         elif isinstance(event, fx.ClientLeft):
             self.client_left(now, event.command, done)
         elif isinstance(event, fx.NamesChanged):
@@ -106,8 +142,28 @@
             self.read = True
         elif isinstance(event, fx.StopAsked):
             self.stopping = True
+            if self.work is not None:
+                self.carry(now, self.work.stop(now), done)
+        elif self.work is not None:
+            self.work_event(now, self.work, event, done)
         return done
 
+    def work_event(self, now: int, work: Work, event: fx.Event, done: list[fx.Effect]) -> None:
+        if isinstance(event, fx.VoteBegins):
+            work.vote(now, event.memory)
+        elif isinstance(event, fx.VoteEnds):
+            done.append(fx.KeepMemory(work.retire(now)))
+        elif isinstance(event, fx.ReportAnswered):
+            work.delivered(now, event.period, event.known, event.token)
+        elif isinstance(event, fx.WorkAsked):
+            why = ""
+            if event.verb == "move":
+                why, outcomes = work.move(now, event.name, event.to)
+            else:
+                outcomes = work.keep_free(now, event.free)
+            self.carry(now, outcomes, done)
+            done.append(fx.Answered(event.call, not why, why))
+
     def maintain(self, now: int, event: fx.MaintenanceAsked, done: list[fx.Effect]) -> None:
         """An exclusion outranks the list until its include; an id that no list has named gets a no."""
         if event.exclude:
@@ -232,6 +288,8 @@
                     done.append(fx.AbandonAttempt(action.request, action.attempt))
             elif isinstance(action, api.Say):
                 done.append(fx.TellPeer(action.data, action.peer))
+            elif isinstance(action, api.Deliver):
+                done.append(fx.DeliverReport(action.period, action.record))
             elif isinstance(action, api.Log):
                 done.append(fx.WriteLog(action.text, action.facts))
             # SubscribeFleet and FetchFleet ask for nothing here: the watch on the name table always runs.
--- /dev/null
+++ b/vetchusher/net/shared.py
@@ -0,0 +1,63 @@
+"""The parts that do I/O for the work that the ingresses of a tier share: the lock of votes, the sink."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+from vetchusher.duties.work import Work
+from vetchusher.settings.fleet import FleetSettings
+
+from . import effects as fx
+from .config import Config
+from .reducer import WORK_TOKEN
+from .runtime import Runtime
+from .sink import Sink
+from .votes import Votes
+
+
+class Shared:
+    """One process's part; made, opened and closed by the ingress."""
+
+    def __init__(
+        self, runtime: Runtime, config: Config, fleet: FleetSettings, rng: random.Random, path: str
+    ) -> None:
+        self.runtime = runtime
+        self.work = Work(
+            fleet.plan,
+            config.settings.index,
+            max(1, runtime.clock.now() // 1000 & 0xFFFFFFFF),
+            runtime.clock.anchor,
+            time.monotonic_ns(),
+            rng,
+            self.figures,
+            fleet.key,
+            fleet.period_s,
+            fleet.log_renewals,
+            fleet.clock_rate,
+        )
+        runtime.reducer.work = self.work
+        self.votes = Votes(runtime, config.name, fleet.plan.digest(), path)
+        self.sink = Sink(runtime, fleet.sink, self.work.permits)
+
+    def figures(self) -> tuple[int, ...]:
+        """In the order of `duties.report.NAMES`."""
+        reducer = self.runtime.reducer
+        tally = reducer.tally
+        counts = (sum(tally.passed), sum(tally.dropped), sum(tally.failed), tally.tries)
+        return (*counts, reducer.open_commands(), reducer.skipped())
+
+    def open(self) -> None:
+        """:raises OSError: where the lock of the vote cannot be had"""
+        self.work.begin(self.runtime.clock.now())
+        if self.work.duties.number in self.work.duties.plan.voters:
+            self.votes.open()
+        self.runtime.feed(fx.TimerDue(WORK_TOKEN))
+
+    def shown(self) -> dict[str, Any]:
+        return self.work.shown(self.runtime.clock.now())
+
+    async def close(self) -> None:
+        await self.sink.close()
+        self.votes.close()
--- /dev/null
+++ b/vetchusher/net/sink.py
@@ -0,0 +1,80 @@
+"""Delivers the fleet's reports to the sink, one at a time, and tells the reducer what the sink knows."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import orjson
+
+from . import effects as fx
+from .runtime import Runtime
+
+log = logging.getLogger("vetchusher")
+
+WAIT_S = 2.0  # for the sink's answer
+MOST_WAITING = 4  # records; beyond that the oldest is dropped, and its period stays a gap
+MOST_ANSWER = 4_096
+
+
+class Sink:
+    """It owns its session and the task of the record that is being delivered.
+
+    A record is sent again, with the same period and token, until the sink answers or newer ones crowd it out:
+    the sink knows a period that it has.
+    """
+
+    def __init__(self, runtime: Runtime, url: str, permits: Callable[[int, int], bool]) -> None:
+        """:param permits: whether, at a time, a record of this token may be sent"""
+        self.runtime, self.url, self.permits = runtime, url, permits
+        self.waiting: asyncio.Queue[fx.DeliverReport] = asyncio.Queue(MOST_WAITING)
+        self.task: asyncio.Task[None] | None = None
+        self.last: dict[str, Any] | None = None
+        self.unanswered = 0
+        runtime.carriers[fx.DeliverReport] = self.take
+
+    def take(self, effect: fx.DeliverReport) -> None:
+        self.last = effect.record
+        if not self.url:
+            return
+        if self.waiting.full():
+            self.waiting.get_nowait()
+        self.waiting.put_nowait(effect)
+        if self.task is None:
+            self.task = self.runtime.loop.create_task(self.deliver_all())
+
+    async def deliver_all(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=WAIT_S)
+        async with aiohttp.ClientSession(timeout=timeout, trust_env=False) as session:
+            while True:
+                effect = await self.waiting.get()
+                while not await self.delivered(session, effect) and self.waiting.empty():
+                    await asyncio.sleep(WAIT_S / 4)
+
+    async def delivered(self, session: aiohttp.ClientSession, effect: fx.DeliverReport) -> bool:
+        """Whether nothing is left to do: the sink answered yes or no, or the duty is no longer ours."""
+        if not self.permits(self.runtime.clock.now(), effect.record["token"]):
+            return True
+        try:
+            async with session.post(self.url, data=orjson.dumps(effect.record)) as response:
+                raw = await response.content.read(MOST_ANSWER)
+                tree = orjson.loads(raw)
+                known, token = int(tree["period"]), int(tree["token"])
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError) as err:
+            self.unanswered += 1
+            if self.unanswered == 1:
+                log.warning("sink of reports: %s", type(err).__name__)
+            return False
+        self.unanswered = 0
+        if response.status != 200:
+            log.warning("report refused", extra={"facts": {"period": effect.period, "known": known}})
+        self.runtime.feed(fx.ReportAnswered(effect.period, known, token))
+        return True
+
+    async def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
--- /dev/null
+++ b/vetchusher/settings/fleet.py
@@ -0,0 +1,59 @@
+"""The settings of the fleet's common work: deploy/fleet.json, by deploy/fleet.schema.json."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from vetchusher.duties import Duty, Plan, Timing
+
+from .document import read_document
+from .errors import SettingsError
+from .limits import read_key
+
+SCHEMA = "fleet.schema.json"
+PERIOD_S = 10
+REPORT = "report"  # the duty whose holder delivers the fleet's report
+
+
+@dataclass(slots=True, frozen=True)
+class FleetSettings:
+    """What one ingress is told of the work it shares.
+
+    :param sink: URL of the reports; empty: they are only shown
+    :param clock_rate: of the lease clock, other than 1 in tests only
+    """
+
+    plan: Plan
+    period_s: int = PERIOD_S
+    sink: str = ""
+    key: bytes | None = None
+    log_renewals: bool = False
+    clock_rate: float = 1.0
+
+
+def read_fleet(path: str, members: int) -> FleetSettings:
+    """:param members: ingresses of the tier
+    :raises SettingsError: with one line that names the file and the place
+    """
+    tree = read_document(path, SCHEMA)
+    timing = Timing(
+        int(tree.get("lease_ms", 2_000)) * 1000,
+        float(tree.get("drift", 0.02)),
+        int(tree.get("margin_ms", 10)) * 1000,
+    )
+    duties = tuple(Duty(d["name"], d.get("zone", "")) for d in tree["duties"])
+    willing = tuple(tree.get("willing", range(members)))
+    plan = Plan(members, tuple(tree["voters"]), timing, duties, willing, tuple(tree.get("zones", ())))
+    if (fault := plan.fault()) is not None:
+        raise SettingsError(f"{path}: {fault[0]}: {fault[1]}")
+    report = tree.get("report", {})
+    if report.get("sink") and REPORT not in {d.name for d in duties}:
+        raise SettingsError(f"{path}: report.sink: no duty is named {REPORT}, so nobody would deliver to it")
+    return FleetSettings(
+        plan,
+        int(report.get("period_s", PERIOD_S)),
+        str(report.get("sink", "")),
+        read_key(path, tree, "key_file"),
+        bool(tree.get("log_renewals", False)),
+        float(tree.get("clock_rate", 1.0)),
+    )
--- a/vetchusher/settings/limits.py
+++ b/vetchusher/settings/limits.py
@@ -32,7 +32,7 @@
     for name in ("suspect_units", "split_units"):
         if name in counter:
             given[name] = float(counter[name])
-    tuning = Tuning(key=read_key(path, peers), **given)
+    tuning = Tuning(key=read_key(path, peers, "peers.key_file"), **given)
     if tuning.suspect_units > tuning.split_units:
         raise SettingsError(f"{path}: counter.suspect_units: {tuning.suspect_units:g} is above split_units")
     if tuning.heard_us < 2 * tuning.speak_us:
@@ -40,14 +40,19 @@
     return tuning
 
 
-def read_key(path: str, peers: dict[str, Any]) -> bytes | None:
-    if "key_file" not in peers:
+def read_key(path: str, tree: dict[str, Any], name: str) -> bytes | None:
+    """The key in the file that a document names.
+
+    :param tree: the object of the document that holds the file's name
+    :param name: the place of the file's name in the document
+    """
+    if "key_file" not in tree:
         return None
-    place = pathlib.Path(path).parent / str(peers["key_file"])
+    place = pathlib.Path(path).parent / str(tree["key_file"])
     try:
         key = place.read_bytes().strip()
     except OSError as err:
-        raise SettingsError(f"{path}: peers.key_file: {place}: {err.strerror}") from None
+        raise SettingsError(f"{path}: {name}: {place}: {err.strerror}") from None
     if len(key) < LEAST_KEY:
-        raise SettingsError(f"{path}: peers.key_file: {place} holds {len(key)} bytes, {LEAST_KEY} at least")
+        raise SettingsError(f"{path}: {name}: {place} holds {len(key)} bytes, {LEAST_KEY} at least")
     return key
