Hold duties by an existing engine as well: etcd's v3 API by its JSON gateway, under the same rules

Rejected: its watch, a stream that must be kept whole.

Three real processes over the stand-in: killed, stopped, ended, the engine stalled (the holder stops by itself), compacted, its leases lost early: learned from the next keep-alive, the one time that the token alone must do.

--- a/vetchusher/duties/work.py
+++ b/vetchusher/duties/work.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 from vetchusher import interface as api
 from vetchusher.tier import Pace
@@ -55,7 +56,7 @@
 
     def tick(self, now: int) -> list[api.Action]:
         at = self.lease_clock(now)
-        out = self.carried(self.duties.tick(at, now // 1_000_000))
+        out = self.turn(at, now)
         if self.report_duty >= 0:
             token = self.duties.token(at, self.report_duty)
             missing, record = self.report.tick(at, now, token, self.own())
@@ -68,6 +69,13 @@
                 out.append(api.Deliver(record.period, record.tree()))
         return out
 
+    def turn(self, at: int, now: int) -> list[api.Action]:
+        return self.carried(self.duties.tick(at, now // 1_000_000))
+
+    def engine_answered(self, now: int, call: int, tree: dict[str, Any] | None) -> list[api.Action]:
+        """Our own voters ask no engine."""
+        return []
+
     def heard(self, now: int, sender: int, data: bytes) -> list[api.Action]:
         at = self.lease_clock(now)
         letter = self.duties.envelope.read(sender, data)
--- a/vetchusher/emulator/duties_rig.py
+++ b/vetchusher/emulator/duties_rig.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from .duties_audit import Holding, gaps, holdings, wrong
+from .etcd import EtcdServer
 from .messages import free_port, read_message, write_answer
 from .paths import Paths
 from .processes import Processes, held_listener
@@ -73,11 +74,12 @@
     period_s: int = 1
     seed: int = 1
     wrong_clocks: float = 0.01
+    engine: EtcdServer | None = None  # instead of voters of our own
     rng: random.Random = field(init=False)
     paths: Paths = field(init=False)
     processes: Processes = field(init=False)
     sink: SinkServer = field(default_factory=SinkServer)
-    consoles: list[int] = field(default_factory=list)
+    engine_url: str = ""
     faults: list[tuple[str, int]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -98,6 +100,8 @@
             servers.ports.append(await listen(opened, servers.serve))
             discovery = await listen(opened, Discovery(name_table(servers.ports)).serve)
             sink = await listen(opened, self.sink.serve)
+            if self.engine is not None:
+                self.engine_url = f"http://127.0.0.1:{await listen(opened, self.engine.serve)}"
             hearing = [("127.0.0.1", free_port(socket.SOCK_DGRAM)) for _ in range(self.members)]
             path = await opened.enter_async_context(DatagramPath(self.paths, Timeline(), hearing).open())
             opened.push_async_callback(self.processes.end_all)
@@ -136,13 +140,13 @@
             },
         )
         fleet = {
-            "voters": list(range(self.voters)),
             "lease_ms": self.lease_ms,
             "duties": [{"name": "report"}, {"name": "drain"}],
             "report": {"period_s": self.period_s, "sink": f"http://127.0.0.1:{sink}/reports"},
             "log_renewals": True,
             "clock_rate": 1.0 + self.rng.choice((-1, 0, 1)) * self.wrong_clocks,
         }
+        fleet |= {"engine": self.engine_url} if self.engine_url else {"voters": list(range(self.voters))}
         (self.folder / f"fleet{n}.json").write_text(json.dumps(fleet))
 
     async def start(self, n: int) -> None:
--- a/vetchusher/interface.py
+++ b/vetchusher/interface.py
@@ -288,4 +288,27 @@
     record: dict[str, object]
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Count | SubscribeFleet | FetchFleet | Log | Say | Deliver
+@dataclass(slots=True)
+class AskEngine:
+    """Call an outside engine of leases; its answer must be there within `patience` (us)."""
+
+    call: int
+    path: str
+    body: dict[str, object]
+    patience: int
+
+
+Action = (
+    Send
+    | Refuse
+    | Fail
+    | Cancel
+    | SetTimer
+    | Count
+    | SubscribeFleet
+    | FetchFleet
+    | Log
+    | Say
+    | Deliver
+    | AskEngine
+)
--- a/vetchusher/net/effects.py
+++ b/vetchusher/net/effects.py
@@ -118,6 +118,14 @@
     token: int
 
 
+@dataclass(slots=True)
+class EngineAnswered:
+    """The engine's answer to a call; nothing where there was none that can be used."""
+
+    call: int
+    tree: dict[str, Any] | None
+
+
 Event = (
     CommandArrived
     | AttemptOver
@@ -133,6 +141,7 @@
     | VoteEnds
     | WorkAsked
     | ReportAnswered
+    | EngineAnswered
 )
 
 
@@ -212,6 +221,16 @@
     record: dict[str, Any]
 
 
+@dataclass(slots=True)
+class CallEngine:
+    """Call the outside engine of leases; an answer after `expires_at` is none."""
+
+    call: int
+    path: str
+    body: dict[str, Any]
+    expires_at: int
+
+
 @dataclass(slots=True)
 class KeepMemory:
     """Keep what this voter remembers where the next process of this ingress finds it."""
@@ -240,4 +259,5 @@
     | KeepExclusions
     | KeepMemory
     | DeliverReport
+    | CallEngine
 )
--- a/vetchusher/net/reducer.py
+++ b/vetchusher/net/reducer.py
@@ -45,6 +45,8 @@
 
     def keep_free(self, now: int, free: bool) -> list[api.Action]: ...
 
+    def engine_answered(self, now: int, call: int, tree: dict[str, Any] | None) -> list[api.Action]: ...
+
 
 @dataclass(slots=True)
 class Command:
@@ -155,6 +157,8 @@
             done.append(fx.KeepMemory(work.retire(now)))
         elif isinstance(event, fx.ReportAnswered):
             work.delivered(now, event.period, event.known, event.token)
+        elif isinstance(event, fx.EngineAnswered):
+            self.carry(now, work.engine_answered(now, event.call, event.tree), done)
         elif isinstance(event, fx.WorkAsked):
             why = ""
             if event.verb == "move":
@@ -288,6 +292,8 @@
                     done.append(fx.AbandonAttempt(action.request, action.attempt))
             elif isinstance(action, api.Say):
                 done.append(fx.TellPeer(action.data, action.peer))
+            elif isinstance(action, api.AskEngine):
+                done.append(fx.CallEngine(action.call, action.path, action.body, now + action.patience))
             elif isinstance(action, api.Deliver):
                 done.append(fx.DeliverReport(action.period, action.record))
             elif isinstance(action, api.Log):
--- a/vetchusher/net/shared.py
+++ b/vetchusher/net/shared.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from vetchusher.duties.work import Work
 from vetchusher.settings.fleet import FleetSettings
@@ -16,6 +16,9 @@
 from .sink import Sink
 from .votes import Votes
 
+if TYPE_CHECKING:
+    from .engine import EngineCalls
+
 
 class Shared:
     """One process's part; made, opened and closed by the ingress."""
@@ -24,7 +27,15 @@
         self, runtime: Runtime, config: Config, fleet: FleetSettings, rng: random.Random, path: str
     ) -> None:
         self.runtime = runtime
-        self.work = Work(
+        make: type[Work] = Work
+        self.engine: EngineCalls | None = None
+        if fleet.engine:
+            from vetchusher.duties.engine_work import EngineWork
+
+            from .engine import EngineCalls
+
+            make, self.engine = EngineWork, EngineCalls(runtime, fleet.engine)
+        self.work = make(
             fleet.plan,
             config.settings.index,
             max(1, runtime.clock.now() // 1000 & 0xFFFFFFFF),
@@ -51,7 +62,7 @@
     def open(self) -> None:
         """:raises OSError: where the lock of the vote cannot be had"""
         self.work.begin(self.runtime.clock.now())
-        if self.work.duties.number in self.work.duties.plan.voters:
+        if self.engine is None and self.work.duties.number in self.work.duties.plan.voters:
             self.votes.open()
         self.runtime.feed(fx.TimerDue(WORK_TOKEN))
 
@@ -60,4 +71,6 @@
 
     async def close(self) -> None:
         await self.sink.close()
+        if self.engine is not None:
+            await self.engine.close()
         self.votes.close()
--- a/vetchusher/settings/fleet.py
+++ b/vetchusher/settings/fleet.py
@@ -20,6 +20,7 @@
     """What one ingress is told of the work it shares.
 
     :param sink: URL of the reports; empty: they are only shown
+    :param engine: URL of an etcd's JSON gateway that holds the duties; empty: our own voters do
     :param clock_rate: of the lease clock, other than 1 in tests only
     """
 
@@ -29,6 +30,7 @@
     key: bytes | None = None
     log_renewals: bool = False
     clock_rate: float = 1.0
+    engine: str = ""
 
 
 def read_fleet(path: str, members: int) -> FleetSettings:
@@ -43,7 +45,14 @@
     )
     duties = tuple(Duty(d["name"], d.get("zone", "")) for d in tree["duties"])
     willing = tuple(tree.get("willing", range(members)))
-    plan = Plan(members, tuple(tree["voters"]), timing, duties, willing, tuple(tree.get("zones", ())))
+    engine = str(tree.get("engine", ""))
+    if "voters" not in tree and not engine:
+        raise SettingsError(f"{path}: voters: is missing, and there is no engine")
+    if "voters" in tree and engine:
+        raise SettingsError(f"{path}: engine: voters vote as well; give one of the two")
+    plan = Plan(
+        members, tuple(tree.get("voters", (0,))), timing, duties, willing, tuple(tree.get("zones", ()))
+    )
     if (fault := plan.fault()) is not None:
         raise SettingsError(f"{path}: {fault[0]}: {fault[1]}")
     report = tree.get("report", {})
@@ -56,4 +65,5 @@
         read_key(path, tree, "key_file"),
         bool(tree.get("log_renewals", False)),
         float(tree.get("clock_rate", 1.0)),
+        engine,
     )
