Measure duties: messages by size of tier, CPU of idle processes; judge where a term changed

The judge of the virtual world looked at every node after every event, which made 200 members take minutes: it looks now where a term was taken, renewed or left, the only events after which a second holder can be, and now and then for gaps.

--- a/Makefile
+++ b/Makefile
@@ -32,4 +32,7 @@
 	$(PYTHON) -m benchmarks.duties planted --jobs 6 --keep benchmarks/results/duties-planted.md
 
 bench-duties-processes: dev
+	$(PYTHON) -m benchmarks.duties cpu --lease 2000 --keep benchmarks/results/duties-cpu.md
 	$(PYTHON) -m benchmarks.duties processes --rounds 8 --jobs 4 --keep benchmarks/results/duties-processes.md
+	$(PYTHON) -m benchmarks.duties processes --rounds 2 --jobs 2 --members 9 --voters 5 --seed 50 \
+		--keep benchmarks/results/duties-processes-9.md
--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -5,6 +5,7 @@
   duties virtual [--runs N] [--seed N] [--length S] [--jobs N] [--keep FILE]
   duties messages [--keep FILE]
   duties explore [--states N] [--walks N] [--keep FILE]
+  duties cpu [--members N] [--lease MS] [--seconds S] [--keep FILE]
   duties planted [--runs N] [--jobs N] [--keep FILE]
   duties (-h | --help)
 
@@ -13,6 +14,7 @@
   --runs N     Runs in virtual time [default: 100].
   --seed N     The first seed [default: 1].
   --length S   Seconds of a run in virtual time [default: 300].
+  --seconds S  That idle processes are watched for [default: 20].
   --members N  Processes of a tier [default: 5].
   --voters N   Of them, voters [default: 3].
   --lease MS   The lease [default: 600].
@@ -25,6 +27,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import platform
 import random
@@ -194,12 +197,54 @@
     return lines + [f"| {name} | {how} | {count} |" for name, how, count in rows]
 
 
+def cpu_of(tier: Tier) -> float:
+    """Seconds of CPU that the tier's processes have used."""
+    ticks = 0
+    for number in range(tier.members):
+        for process in tier.processes.alive(number):
+            fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+            ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def watch(told: dict[str, str], shares: bool) -> tuple[float, float]:
+    """CPU a second of one idle process, and megabytes it holds."""
+    seconds, used = float(told["--seconds"]), [0.0, 0.0]
+
+    async def script(tier: Tier) -> None:
+        await asyncio.sleep(4.0)
+        before = cpu_of(tier)
+        await asyncio.sleep(seconds)
+        used[0] = (cpu_of(tier) - before) / seconds / tier.members
+        statuses = (
+            pathlib.Path(f"/proc/{tier.processes.alive(n)[0].pid}/status") for n in range(tier.members)
+        )
+        used[1] = (
+            sum(int(s.read_text().split("VmRSS:")[1].split()[0]) for s in statuses) / 1024 / tier.members
+        )
+
+    with tempfile.TemporaryDirectory() as folder:
+        members, lease = int(told["--members"]), int(told["--lease"])
+        tier = Tier(pathlib.Path(folder), members, 3, lease, period_s=10, shares=shares)
+        asyncio.run(tier.run(script))
+    return used[0], used[1]
+
+
+def cpu_table(told: dict[str, str]) -> list[str]:
+    lines = ["| an idle process | CPU a second | MB held |", "| --- | --- | --- |"]
+    for shares, name in ((False, "without --fleet"), (True, "with two duties and the report")):
+        cpu, held = watch(told, shares)
+        lines.append(f"| {name} | {cpu * 1000:.1f} ms | {held:.0f} |")
+    return lines
+
+
 TABLES = {
     "processes": processes_table,
     "virtual": virtual_table,
     "messages": messages_table,
     "explore": explore_table,
     "planted": planted_table,
+    "cpu": cpu_table,
 }
 
 
--- a/vetchusher/emulator/duties_rig.py
+++ b/vetchusher/emulator/duties_rig.py
@@ -74,6 +74,7 @@
     period_s: int = 1
     seed: int = 1
     wrong_clocks: float = 0.01
+    shares: bool = True  # whether the processes are given the fleet's file at all
     engine: EtcdServer | None = None  # instead of voters of our own
     rng: random.Random = field(init=False)
     paths: Paths = field(init=False)
@@ -150,7 +151,8 @@
         (self.folder / f"fleet{n}.json").write_text(json.dumps(fleet))
 
     async def start(self, n: int) -> None:
-        await self.processes.start(n, ("--fleet", str(self.folder / f"fleet{n}.json")))
+        fleet = ("--fleet", str(self.folder / f"fleet{n}.json"))
+        await self.processes.start(n, fleet if self.shares else ())
 
     # -- looking ----------------------------------------------------------------------
 
--- a/vetchusher/emulator/duties_world.py
+++ b/vetchusher/emulator/duties_world.py
@@ -1,7 +1,8 @@
 """Duties in virtual time: hundreds of members, a network with faults, clocks that run wrong, and a judge.
 
-The state machines run unchanged; each node has a clock of its own.  The judge looks after every event: a
-holder can only come to be by one, and time alone only ends terms.
+The state machines run unchanged; each node has a clock of its own.  The judge looks after every event in
+which a term was taken, renewed or left: a holder can only come to be by one, and time alone only ends terms.
+Between these it looks now and then, to know since when nobody holds.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 MS = 1_000
 SECOND = 1_000_000
 WALL_S = 1_900_000_000
+LOOKS = 16  # events between two looks of the judge where no term changed
 
 
 @dataclass(slots=True)
@@ -103,6 +105,7 @@
         self.seen = [0] * scene.duties  # the highest that the target has seen
         self.free_since: list[int | None] = [0] * scene.duties
         self.last_fault = "start"
+        self.changed = False  # a term, in this event
         self.sent = [0] * scene.members
 
     def after(self, delay: int, what: Callable[[], None]) -> None:
@@ -160,6 +163,7 @@
                 self.noted(act)
 
     def noted(self, note: Note) -> None:
+        self.changed = True
         duty = int(note.duty.removeprefix("duty-"))
         if note.what == "taken":
             self.found.terms += 1
@@ -318,8 +322,10 @@
             held += (when - self.at) if self.free_since[0] is None else 0
             self.at = when
             what()
-            self.judge()
             found.events += 1
+            if self.changed or found.events % LOOKS == 0:
+                self.changed = False
+                self.judge()
             if len(found.wrong) > 20:
                 break
         found.per_member = [n / max(1, self.at) * SECOND for n in self.sent]
