--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -35,6 +35,7 @@
 import tempfile
 from collections import defaultdict
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 
 from docopt import docopt
 
@@ -173,6 +174,13 @@
     return lines
 
 
+SHAPES = (
+    Scene(length=100 * SECOND, every=4 * SECOND),
+    Scene(length=100 * SECOND, every=4 * SECOND, least_ms=1, most_ms=2, wrong_clocks=0.02),
+    Scene(length=100 * SECOND, every=5 * SECOND, kinds=("voters restarted", "killed")),
+)
+
+
 def plant(name: str, runs: int) -> tuple[str, str, int]:
     """What finds a guard taken out: walks, or the world; after how many runs."""
     with planted(name):
@@ -181,9 +189,8 @@
             if walks.wrong:
                 return name, f"walks from {begin}: {walks.wrong}", walks.states
         for seed in range(1, runs + 1):
-            quick = {"least_ms": 1, "most_ms": 2, "wrong_clocks": 0.02} if seed % 2 else {}
             tokens = name != "no target looks at tokens"
-            scene = Scene(seed=seed, length=100 * SECOND, every=4 * SECOND, checks_tokens=tokens, **quick)  # type: ignore[arg-type]
+            scene = replace(SHAPES[seed % len(SHAPES)], seed=seed, checks_tokens=tokens)
             found = World(scene).run()
             if found.wrong:
                 return name, f"virtual time, run {seed}: {found.wrong[0]}", found.events
--- a/vetchusher/emulator/duties_rig.py
+++ b/vetchusher/emulator/duties_rig.py
@@ -234,18 +234,21 @@
         await self.last(1.0)
 
     async def sigterm(self, number: int) -> None:
-        self.processes.signal(number, signal.SIGTERM)
-        for process in self.processes.alive(number):
-            await process.wait()
+        await self.end(number)
         await self.start(number)
 
+    async def end(self, number: int) -> None:
+        """The oldest process of a number is told to end, and has; another fault may have stopped it."""
+        for process in self.processes.alive(number)[:1]:
+            self.processes.signal(number, signal.SIGTERM)
+            self.processes.signal(number, signal.SIGCONT)
+            await process.wait()
+
     async def upgrade(self, number: int) -> None:
         """A second process beside the first, which is told to end a little later."""
         await self.start(number)
         await self.last(2.0)
-        self.processes.signal(number, signal.SIGTERM)
-        for process in self.processes.alive(number)[:1]:
-            await process.wait()
+        await self.end(number)
 
 
 FAULTS: dict[str, Callable[[Tier, int], Awaitable[None]]] = {
--- a/vetchusher/emulator/processes.py
+++ b/vetchusher/emulator/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -26,7 +27,6 @@
     ) -> None:
         self.folder, self.arguments, self.listeners = folder, arguments, listeners
         self.running: dict[int, list[asyncio.subprocess.Process]] = {}
-        self.stopped: set[int] = set()  # by process id
         self.starts = 0
 
     def configure(self, number: int, told: dict[str, Any]) -> None:
@@ -65,14 +65,14 @@
 
     def signal(self, number: int, what: signal.Signals) -> None:
         """Tell the oldest process of a number."""
-        living = self.alive(number)
-        if living:
-            living[0].send_signal(what)
-            (self.stopped.add if what is signal.SIGSTOP else self.stopped.discard)(living[0].pid)
+        for process in self.alive(number)[:1]:
+            with contextlib.suppress(ProcessLookupError):  # it has ended since
+                process.send_signal(what)
 
     async def kill(self, number: int) -> None:
         for process in self.alive(number):
-            process.send_signal(signal.SIGKILL)
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGKILL)
             await process.wait()
 
     async def end_all(self) -> None:
