Move a duty through any ingress that knows its holder; refuse duties that would crowd out quotas

A move by hand worked at the holder only. Another ingress now asks the holder by one datagram that names the term, so that an old one ends no later term. Rejected: answering with the holder's number for the operator to ask there: the one at hand may be all that can be reached.

A fleet file whose duties would make more at a voter is refused with one line that names the lease.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -100,6 +100,28 @@
     assert not found.wrong and found.gaps[-1][1] < 100 * MS
 
 
+def test_a_duty_is_moved_by_hand_through_any_ingress_that_knows_its_holder():
+    scene = Scene(seed=5, members=5, voters=3, faults=False, loss=0.0, late=0.0)
+    world = World(scene)
+    moved = []
+
+    def move():
+        holder = holder_of(world.tokens[0])
+        knows = [n for n in world.nodes.values() if n.duties.candidates[0].holder_until > n.now(world.at)]
+        asked = next(n for n in knows if n.number != holder)
+        to = next(n for n in range(5) if n not in (holder, asked.number))
+        acts = asked.duties.move(asked.now(world.at), 0, to)
+        moved.append((holder, to))
+        world.carry(asked, acts)
+        world.after(SECOND, lambda: world.carry(asked, acts))  # comes again: the term it names has ended
+
+    world.after(20 * SECOND, move)
+    scene.length = 25 * SECOND
+    found = world.run()
+    assert not found.wrong and holder_of(world.tokens[0]) == moved[0][1] != moved[0][0]
+    assert found.terms == 2 and found.gaps[-1][1] < 150 * MS
+
+
 @pytest.mark.parametrize("members", [5, 40])
 def test_messages_of_those_that_do_not_vote_do_not_grow_with_the_tier(members):
     found = World(Scene(members=members, voters=5, duties=4, faults=False, length=60 * SECOND)).run()
--- a/vetchusher/duties/duties.py
+++ b/vetchusher/duties/duties.py
@@ -11,10 +11,9 @@
 from .candidate import Candidate, Reason, Stage
 from .lease import holder_of
 from .messages import Message, Topic
-from .plan import Plan
+from .plan import STANDBY, Plan
 from .voter import Memory, Voter
 
-STANDBY = 5  # of a duty's order that ask again as soon as it may be free; the others ask seldom
 RANK_PART = 8  # of a lease between the asking of one rank and the next
 TO_VOTER = frozenset((Topic.ASK, Topic.TAKE, Topic.FREE, Topic.WAKE, Topic.KNOWN))
 
@@ -146,6 +145,9 @@
             if self.voters:
                 self.post(now, self.voters[message.duty].heard(now, sender, life, message), acts)
             return
+        if message.topic is Topic.MOVE:
+            self.asked_to_move(now, message, acts)
+            return
         candidate = self.candidates[message.duty]
         self.post(now, candidate.heard(now, sender, message, self.wants()), acts)
         self.note(candidate, acts)
@@ -161,13 +163,26 @@
         return self.give_up(now, Reason.RELEASED) if free else []
 
     def move(self, now: int, duty: int, to: int) -> list[Act] | None:
-        """By hand: hand a duty that is held here to another ingress; None where it is not held here."""
-        if self.candidates[duty].token(now) is None:
+        """By hand: hand a duty to another ingress, or ask its holder to; None where no holder is known here.
+
+        The asking is one datagram: whether it was heeded shows in who holds the duty.
+        """
+        candidate, acts = self.candidates[duty], list[Act]()
+        if candidate.token(now) is not None:
+            self.leave(now, candidate, Reason.RELEASED, to, acts)
+        elif now < candidate.holder_until and candidate.holder:
+            ask = Message(Topic.MOVE, duty, candidate.holder, to)
+            self.post(now, [(holder_of(candidate.holder), ask)], acts)
+        else:
             return None
-        acts: list[Act] = []
-        self.leave(now, self.candidates[duty], Reason.RELEASED, to, acts)
         return acts
 
+    def asked_to_move(self, now: int, message: Message, acts: list[Act]) -> None:
+        """Another ingress was asked by hand.  Danger: an old asking must not end a later term."""
+        candidate = self.candidates[message.duty]
+        if candidate.token(now) == message.ballot and message.number in self.plan.willing:
+            self.leave(now, candidate, Reason.RELEASED, message.number, acts)
+
     def give_up(self, now: int, reason: Reason) -> list[Act]:
         acts: list[Act] = []
         for duty, candidate in enumerate(self.candidates):
--- a/vetchusher/duties/messages.py
+++ b/vetchusher/duties/messages.py
@@ -21,6 +21,7 @@
     FREE = 6  # other: the ballot of the next candidate; 0: none
     WAKE = 7
     KNOWN = 8  # number: 1 where the voter remembers
+    MOVE = 9  # to the holder of that ballot; number: of the ingress that shall have it
 
 
 TOPICS = frozenset(int(t) for t in Topic)
--- a/vetchusher/duties/plan.py
+++ b/vetchusher/duties/plan.py
@@ -8,6 +8,8 @@
 from .lease import MOST_MEMBERS, Timing
 
 MOST_DUTIES = 64
+STANDBY = 5  # of a duty's order that ask again as soon as it may be free; the others ask seldom
+AGAIN = 1.1  # sendings of a message, with 7% lost
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,6 +65,13 @@
             return "willing", "nobody is"
         return None
 
+    def messages_in(self) -> float:
+        """Datagrams a second that a voter takes in while all is well: each duty's holder renews four times a
+        lease, those that stand by ask once each, and what is lost is sent again."""
+        asking = min(STANDBY, len(self.willing)) + 1  # one of all the others, seldom
+        each = (self.timing.lease / self.timing.renew + asking) * AGAIN
+        return len(self.duties) * each / (self.timing.lease / 1e6)
+
     def place(self, duty: int, number: int) -> tuple[bool, bytes]:
         """Where an ingress comes in a duty's order: those of its zone first, else as a hash has it."""
         zone = self.duties[duty].zone
--- a/vetchusher/duties/work.py
+++ b/vetchusher/duties/work.py
@@ -123,7 +123,7 @@
         return self.carried(self.duties.keep_free(self.lease_clock(now), free))
 
     def move(self, now: int, name: str, to: int) -> tuple[str, list[api.Action]]:
-        """By hand: hand a duty on; a reason why not, or an empty one."""
+        """By hand: hand a duty on, or ask its holder to; a reason why not, or an empty one."""
         names = [d.name for d in self.duties.plan.duties]
         if name not in names:
             return f"no duty is named {name[:40]!r}", []
@@ -131,8 +131,7 @@
             return f"ingress {to} is not willing", []
         acts = self.duties.move(self.lease_clock(now), names.index(name), to)
         if acts is None:
-            row = self.duties.shown(self.lease_clock(now))[names.index(name)]
-            return f"{name} is not held here but by {row['holder']}", []
+            return f"{name} is not held here, and by whom is not known", []
         return "", self.carried(acts)
 
     def shown(self, now: int) -> dict[str, object]:
--- a/vetchusher/net/cli.py
+++ b/vetchusher/net/cli.py
@@ -75,7 +75,7 @@
         raise configuration.ConfigError(
             f"{path}: needs settings.limits.peers, peer_listen and an address in peers for each ingress"
         )
-    return read_fleet(path, config.settings.gateways)
+    return read_fleet(path, config.settings.gateways, config.settings.peer_in_per_s)
 
 
 def main(argv: list[str]) -> int:
--- a/vetchusher/settings/fleet.py
+++ b/vetchusher/settings/fleet.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from vetchusher.duties import Duty, Plan, Timing
+from vetchusher.tier import budget
 
 from .document import read_document
 from .errors import SettingsError
@@ -33,8 +34,9 @@
     engine: str = ""
 
 
-def read_fleet(path: str, members: int) -> FleetSettings:
+def read_fleet(path: str, members: int, inbox_per_s: float = 0.0) -> FleetSettings:
     """:param members: ingresses of the tier
+    :param inbox_per_s: datagrams that each takes in; 0: not bounded
     :raises SettingsError: with one line that names the file and the place
     """
     tree = read_document(path, SCHEMA)
@@ -55,6 +57,11 @@
     )
     if (fault := plan.fault()) is not None:
         raise SettingsError(f"{path}: {fault[0]}: {fault[1]}")
+    if not engine and plan.messages_in() > budget.room(inbox_per_s):
+        raise SettingsError(
+            f"{path}: lease_ms: {len(duties)} duties make {plan.messages_in():.0f} datagrams a second at a "
+            f"voter, and {budget.room(inbox_per_s):.0f} are left for them: lengthen the lease"
+        )
     report = tree.get("report", {})
     if report.get("sink") and REPORT not in {d.name for d in duties}:
         raise SettingsError(f"{path}: report.sink: no duty is named {REPORT}, so nobody would deliver to it")
--- /dev/null
+++ b/vetchusher/tier/budget.py
@@ -0,0 +1,15 @@
+"""What part of the datagrams that an ingress takes in the work shared by the tier may make.
+
+Owned here for all of it: duties now; whoever joins them (membership, releases) is reckoned in the same sum.
+"""
+
+from __future__ import annotations
+
+from vetchusher.limits.guard import INBOX_PART
+
+SHARE = 1.0 - INBOX_PART  # of what an ingress takes in: the counts of quotas may make the rest
+
+
+def room(inbox_per_s: float) -> float:
+    """Datagrams a second that all shared work together may send to one ingress; none stated: no bound."""
+    return SHARE * inbox_per_s if inbox_per_s > 0.0 else float("inf")
