Reckon why a lease ended in one place; one held listener for the rig and the upgrade tests

Read again as a whole, the change had written three things twice: why a lease was not prolonged (by voters and by an engine, now candidate.why_ended), the listening socket that a platform holds (the upgrade tests now take the rig's, which binds port 0 at once instead of a port found free a moment before), and the look-up of a sequence that may be gone.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,21 +5,22 @@
 import socket
 
 import orjson
-from net_helpers import OK, PERIOD, Discovery, Peer, ask, counting, entry, run, start_program, tree, until
+from net_helpers import (
+    OK,
+    PERIOD,
+    Discovery,
+    Peer,
+    ask,
+    counting,
+    entry,
+    free_port,
+    run,
+    start_program,
+    tree,
+    until,
+)
 
-
-def held_listener():
-    """A listening socket as the platform holds it: bound before any ingress starts."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(64)
-    return listener
-
-
-def free_udp_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+from vetchusher.emulator.processes import held_listener
 
 
 async def served(port):
@@ -36,8 +37,8 @@
             async with Discovery(entry(server.port)).open() as discovery:
                 told = tree(*(f"127.0.0.1:{p}" for p in (port, discovery.port, counter.port)))
                 # Both processes hear their peers at one address too.
-                told["peer_listen"] = f"127.0.0.1:{free_udp_port()}"
-                told["peers"] = [told["peer_listen"], f"127.0.0.1:{free_udp_port()}"]
+                told["peer_listen"] = f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"
+                told["peers"] = [told["peer_listen"], f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"]
                 told["settings"]["limits"]["peers"] = True
                 path = tmp_path / "config.json"
                 path.write_bytes(orjson.dumps(told))
--- a/vetchusher/duties/candidate.py
+++ b/vetchusher/duties/candidate.py
@@ -30,6 +30,17 @@
     STOPPING = "stopping"
 
 
+def why_ended(unanswered: int, timing: Timing, stalled: bool) -> Reason:
+    """Why a lease was not prolonged in time.
+
+    :param unanswered: us since whoever keeps the lease last answered
+    :param stalled: whether this ingress's own event loop was late
+    """
+    if stalled:
+        return Reason.STALLED
+    return Reason.CUT_OFF if unanswered > 2 * timing.renew else Reason.RAN_OUT
+
+
 @dataclass(slots=True)
 class Term:
     """An attempt at a term, or a term held."""
@@ -89,8 +100,7 @@
         """
         if self.stage is Stage.HOLDING:
             if now >= self.until:
-                quiet = now - self.answered_at > 2 * self.timing.renew
-                self.leave(now, Reason.STALLED if stalled else Reason.CUT_OFF if quiet else Reason.RAN_OUT)
+                self.leave(now, why_ended(now - self.answered_at, self.timing, stalled))
                 return []
             return self.renew(now) if now >= self.due_at else []
         if now < self.due_at:
@@ -171,7 +181,9 @@
             return
         # A majority answered this sequence or a later one.
         sure = sorted(term.acked.values(), reverse=True)[len(self.voters) // 2]
-        until = term.sent.get(sure, -1) + self.timing.held if sure in term.sent else 0
+        if sure not in term.sent:
+            return
+        until = term.sent[sure] + self.timing.held
         if until <= max(now, self.until if self.stage is Stage.HOLDING else 0):
             return
         self.until = until
--- a/vetchusher/duties/engine.py
+++ b/vetchusher/duties/engine.py
@@ -16,7 +16,7 @@
 
 from vetchusher.tier import Envelope
 
-from .candidate import Reason
+from .candidate import Reason, why_ended
 from .duties import Act, Figures, Note
 from .lease import Timing
 from .plan import Plan
@@ -88,8 +88,7 @@
     def tick(self, now: int, call: int, wants: bool, stalled: bool) -> list[Ask]:
         """Do what is due; `call` numbers the call that is made, if one is."""
         if self.stage is Stage.HOLDING and now >= self.until:
-            quiet = now - self.answered_at > 2 * self.timing.renew
-            self.leave(now, Reason.STALLED if stalled else Reason.CUT_OFF if quiet else Reason.RAN_OUT)
+            self.leave(now, why_ended(now - self.answered_at, self.timing, stalled))
         if now < self.due_at:
             return []
         if self.stage is Stage.HOLDING:
--- a/vetchusher/emulator/processes.py
+++ b/vetchusher/emulator/processes.py
@@ -12,8 +12,6 @@
 import sys
 from typing import Any
 
-from .messages import free_port
-
 
 class Processes:
     """The programs of one tier, by number, the older first.  It owns them: each ends in `end_all`.
@@ -91,6 +89,6 @@
 def held_listener() -> socket.socket:
     """A listening socket as a platform holds it: bound before any process starts."""
     listener = socket.socket()
-    listener.bind(("127.0.0.1", free_port()))
+    listener.bind(("127.0.0.1", 0))
     listener.listen(64)
     return listener
