--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -42,7 +42,8 @@
 from vetchusher.emulator.duties_explorer import STARTS, Explored, explore, wander
 from vetchusher.emulator.duties_faults import PLANTED, planted
 from vetchusher.emulator.duties_rig import FAULTS, Outcome, Tier
-from vetchusher.emulator.duties_world import SECOND, Found, Scene, World
+from vetchusher.emulator.duties_world import Found, Scene, World
+from vetchusher.emulator.tier_world import SECOND
 
 
 def part(values: list[float], share: float) -> float:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -81,7 +81,7 @@
         else:
             world.sides[world.holder()] = 1
 
-    world.holder = lambda: next(n for n, x in world.nodes.items() if x.duties.token(x.now(world.at), 0))
+    world.holder = lambda: next(n for n, x in world.nodes.items() if x.work.token(x.now(world.at), 0))
     world.after(20 * SECOND + seed * 100 * MS, lose)
     scene.length = 30 * SECOND
     found = world.run()
@@ -107,10 +107,10 @@
 
     def move():
         holder = holder_of(world.tokens[0])
-        knows = [n for n in world.nodes.values() if n.duties.candidates[0].holder_until > n.now(world.at)]
+        knows = [n for n in world.nodes.values() if n.work.candidates[0].holder_until > n.now(world.at)]
         asked = next(n for n in knows if n.number != holder)
         to = next(n for n in range(5) if n not in (holder, asked.number))
-        acts = asked.duties.move(asked.now(world.at), 0, to)
+        acts = asked.work.move(asked.now(world.at), 0, to)
         moved.append((holder, to))
         world.carry(asked, acts)
         world.after(SECOND, lambda: world.carry(asked, acts))  # comes again: the term it names has ended
--- a/vetchusher/duties/duties.py
+++ b/vetchusher/duties/duties.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
-from vetchusher.tier import Envelope, Letter
+from vetchusher.tier import Envelope, Letter, Tell
 
 from . import messages
 from .candidate import Candidate, Reason, Stage
@@ -18,14 +18,6 @@
 TO_VOTER = frozenset((Topic.ASK, Topic.TAKE, Topic.FREE, Topic.WAKE, Topic.KNOWN))
 
 
-@dataclass(slots=True, frozen=True)
-class Tell:
-    """Send a datagram to one ingress of the tier."""
-
-    to: int
-    data: bytes
-
-
 @dataclass(slots=True, frozen=True)
 class Note:
     """A term was taken, renewed or left here.  Times in us on this ingress's lease clock."""
--- a/vetchusher/duties/engine_work.py
+++ b/vetchusher/duties/engine_work.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from vetchusher import interface as api
+from vetchusher.tier import Tell
 
-from .duties import Act, Duties, Tell
+from .duties import Act, Duties
 from .engine import Ask, EngineDuties
 from .voter import Memory
 from .work import Work
--- a/vetchusher/duties/work.py
+++ b/vetchusher/duties/work.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from vetchusher import interface as api
-from vetchusher.tier import Pace
+from vetchusher.tier import Pace, Tell
 
 from . import report
-from .duties import Act, Duties, Note, Tell
+from .duties import Act, Duties, Note
 from .plan import Plan
 from .voter import Memory
 
--- /dev/null
+++ b/vetchusher/emulator/members_world.py
@@ -0,0 +1,314 @@
+"""Membership in virtual time, with a judge who knows who really lives, and two plain ways beside it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from vetchusher.membership.member import Membership, Side
+from vetchusher.membership.probe import Probe
+from vetchusher.membership.records import HERE, Record, State
+from vetchusher.membership.rules import Rules
+from vetchusher.membership.view import Change
+from vetchusher.tier import Envelope, Tell
+
+from .tier_world import MS, SECOND, Node, TierScene, TierWorld
+
+WALL_MS = 1_900_000_000_000
+TIER = 7
+
+
+class PlainSwim(Membership):
+    """SWIM's first form: a probe that fails directly and through others is a death at once.
+
+    Who hears that it is dead comes back with a later word; nobody doubts itself.
+    """
+
+    def doubts(self, now: int) -> bool:
+        return not self.settled
+
+    def look_at_stall(self, now: int) -> None:
+        self.health = 0
+
+    def failed(self, now: int, probe: Probe) -> None:
+        self.view.accuse(now, probe.target, probe.claim)
+        entry = self.view.entries[probe.target]
+        if entry.state is State.SUSPECTED:
+            entry.accused_at = now - 10 * self.rules.longest
+
+    def heard(self, now: int, letter: Any) -> list[Tell]:
+        acts = super().heard(now, letter)
+        self.view.muted_until = -1
+        for number in list(self.view.suspects):
+            self.view.entries[number].accused_at = now - 10 * self.rules.longest
+        return acts
+
+
+class Heartbeats:
+    """A word to everybody each period; who is silent for a fixed limit is dead."""
+
+    def __init__(self, rules: Rules, number: int, envelope: Envelope) -> None:
+        self.rules, self.number, self.envelope = rules, number, envelope
+        self.heard_at: dict[int, int] = {}
+        self.dead: set[int] = set()
+        self.said_at = -1
+        self.noted: list[Change] = []
+
+    def tick(self, now: int) -> list[Tell]:
+        for number, at in self.heard_at.items():
+            if number not in self.dead and now - at > self.rules.pause + self.rules.period:
+                self.dead.add(number)
+                self.noted.append(Change("dead", number, Record(), self.number, 1, now))
+        if now - self.said_at < self.rules.period and self.said_at >= 0:
+            return []
+        self.said_at = now
+        data = self.envelope.write(32, b"")
+        return [Tell(n, data) for n in range(self.rules.members) if n != self.number]
+
+    def heard_from(self, now: int, sender: int) -> None:
+        self.heard_at[sender] = now
+        if sender in self.dead:
+            self.dead.discard(sender)
+            self.noted.append(Change("alive", sender, Record(), sender, 0, now))
+
+
+class Member:
+    """One process: the envelope's reading, and membership or a plain way behind it."""
+
+    def __init__(self, way: str, rules: Rules, number: int, life: int, rng: random.Random) -> None:
+        self.envelope = Envelope(number, life, rules.members, TIER)
+        self.plain: Heartbeats | None = None
+        self.member: Membership | None = None
+        self.life = WALL_MS + life
+        if way == "heartbeats":
+            self.plain = Heartbeats(rules, number, self.envelope)
+        else:
+            make = PlainSwim if way == "swim" else Membership
+            self.member = make(rules, number, self.life, self.envelope, rng)
+
+    def begin(self, now: int) -> None:
+        if self.member is not None:
+            self.member.begin(now)
+
+    def tick(self, now: int) -> list[Any]:
+        if self.plain is not None:
+            acts: list[Any] = [*self.plain.tick(now), *self.plain.noted]
+            self.plain.noted = []
+            return acts
+        assert self.member is not None
+        return [*self.member.tick(now), *self.member.changes()]
+
+    def heard(self, now: int, sender: int, data: bytes) -> list[Any]:
+        letter = self.envelope.read(sender, data)
+        if letter is None:
+            return []
+        if self.plain is not None:
+            self.plain.heard_from(now, sender)
+            return []
+        assert self.member is not None
+        return [*self.member.heard(now, letter), *self.member.changes()]
+
+    def stop(self, now: int) -> list[Any]:
+        return [*self.member.stop(now)] if self.member is not None else []
+
+    def left(self, now: int) -> list[Any]:
+        return [*self.member.left(now)] if self.member is not None else []
+
+
+@dataclass(slots=True)
+class Scene(TierScene):
+    """:param way: `ours`, or a plain one beside it: `swim`, `heartbeats`"""
+
+    way: str = "ours"
+    period: int = SECOND
+    pause: int = 2 * SECOND
+    away: int = 60 * SECOND  # for how long a killed one stays away, at most
+
+    def rules(self) -> Rules:
+        return Rules(self.members, self.period, self.pause)
+
+
+@dataclass(slots=True)
+class Death:
+    """A process that was killed, and when each of the others showed it dead."""
+
+    member: int
+    at: int
+    known: dict[int, int] = field(default_factory=dict)
+    over: bool = False
+
+    def times(self, others: int) -> tuple[float, float, float] | None:
+        """Seconds until the first, half and all of so many others knew; None: not all did."""
+        took = sorted(t - self.at for t in self.known.values())
+        if len(took) < others or not took:
+            return None
+        return took[0] / SECOND, took[len(took) // 2] / SECOND, took[others - 1] / SECOND
+
+
+@dataclass(slots=True)
+class Found:
+    wrong: list[str] = field(default_factory=list)  # deaths of living members, by those that hear a majority
+    false_by_life: int = 0  # the same, each member and life once
+    events: int = 0
+    deaths: list[Death] = field(default_factory=list)
+    bytes_per_s: float = 0.0  # that a member says
+    messages_per_s: float = 0.0
+    suspected: int = 0
+    changes: int = 0
+    faults: dict[str, int] = field(default_factory=dict)
+    most_in: int = 0  # datagrams that one member took in within a second
+
+
+class World(TierWorld[Member]):
+    """:ivar excused: by member, until when its death may be told although it lives: it was unheard, stopped
+    for longer than the stated pause, or on the other side of a cut"""
+
+    scene: Scene
+
+    def __init__(self, scene: Scene) -> None:
+        super().__init__(scene)
+        self.rules = scene.rules()
+        self.tick_us = self.rules.tick
+        self.excused = [0] * scene.members
+        self.all_excused = 0
+        self.found = Found()
+        self.open: dict[int, Death] = {}
+        self.claimed: set[tuple[int, int]] = set()
+        self.second, self.taken = -1, [0] * scene.members
+
+    def make(self, number: int, now: int) -> Member:
+        rng = random.Random(self.rng.randrange(1 << 30))
+        member = Member(self.scene.way, self.rules, number, self.at // MS + self.lives, rng)
+        member.begin(now)
+        return member
+
+    def started(self, node: Node[Member]) -> None:
+        if (death := self.open.pop(node.number, None)) is not None:
+            death.over = True
+        for death in self.open.values():
+            death.known.pop(node.number, None)
+
+    def ticked(self, node: Node[Member]) -> None:
+        self.carry(node, node.work.tick(node.now(self.at)))
+
+    def deliver(self, sender: int, to: int, data: bytes) -> None:
+        second = self.at // SECOND
+        if second != self.second:
+            self.second, self.taken = second, [0] * self.scene.members
+        self.taken[to] += 1
+        self.found.most_in = max(self.found.most_in, self.taken[to])
+        super().deliver(sender, to, data)
+
+    # -- the judge --------------------------------------------------------------------
+
+    def noted(self, node: Node[Member], act: Change) -> None:
+        self.found.changes += 1
+        self.found.suspected += act.what == "suspected"
+        if act.what == "dead":
+            death = self.open.get(act.member)
+            if death is not None:
+                death.known.setdefault(node.number, self.at)
+            self.judge(node, act)
+
+    def judge(self, node: Node[Member], act: Change) -> None:
+        accused = self.nodes.get(act.member)
+        if accused is None or node is not self.nodes.get(node.number):
+            return
+        if self.scene.way != "heartbeats" and act.record.life != accused.work.life:
+            return
+        own = node.work.member
+        hears_majority = own is None or own.side(node.now(self.at)) is Side.MAJORITY
+        if self.at < max(self.all_excused, self.excused[act.member]) or not hears_majority:
+            return
+        key = (act.member, accused.life)
+        self.found.false_by_life += key not in self.claimed
+        self.claimed.add(key)
+        if self.scene.way == "ours":
+            self.wrong(f"{node.number} declares {act.member} dead, which lives")
+        else:
+            self.found.wrong.append("")
+
+    def excuse(self, number: int, length: int) -> None:
+        """It may be declared dead from now on, and for as long again as this takes to be taken back."""
+        self.excused[number] = max(self.excused[number], self.at + length + 2 * self.rules.known)
+
+    # -- faults -----------------------------------------------------------------------
+
+    def stop(self, number: int, length: int = 0) -> None:
+        node = self.nodes.get(number)
+        if node is None or not node.runs:
+            return
+        length = length or int(self.rng.choice(self.scene.stops) * self.scene.unit)
+        if length > self.scene.pause:
+            self.excuse(number, length)
+        super().stop(number, length)
+
+    def kill(self, number: int, after: int | None = None) -> None:
+        if number in self.nodes and not any(o.number == number for o in self.old):
+            death = self.open[number] = Death(number, self.at)
+            self.found.deaths.append(death)
+        away = self.rng.randrange(self.scene.away // 2, self.scene.away)
+        super().kill(number, away if after is None else after)
+
+    def mark(self, marked: set[Any], number: Any) -> None:
+        if marked is self.unheard:
+            self.excuse(number, 4 * self.scene.unit)
+        super().mark(marked, number)
+
+    def cut(self, parts: int) -> None:
+        self.all_excused = max(self.all_excused, self.at + 4 * self.scene.unit + 2 * self.rules.known)
+        super().cut(parts)
+
+    def one_sided(self, number: int) -> None:
+        """It does not hear one other, which hears it."""
+        other = self.rng.randrange(self.scene.members)
+        if other != number:
+            self.mark(self.cuts, (other, number))
+
+    def pair(self, number: int) -> None:
+        other = self.rng.randrange(self.scene.members)
+        if other != number:
+            self.mark(self.cuts, (other, number))
+            self.mark(self.cuts, (number, other))
+
+    def sigterm(self, number: int) -> None:
+        node = self.nodes.get(number)
+        if node is not None and node.runs:
+            self.carry(node, node.work.stop(node.now(self.at)))
+            self.after(500 * MS, lambda: self.leave(node))
+
+    def leave(self, node: Node[Member]) -> None:
+        if self.nodes.get(node.number) is node and node.runs:
+            self.carry(node, node.work.left(node.now(self.at)))
+            super().kill(node.number, self.rng.randrange(self.scene.unit * 3))
+
+    def fault_kinds(self) -> dict[str, Callable[[int], None]]:
+        return super().fault_kinds() | {"heard by one less": self.one_sided, "a pair cut": self.pair}
+
+    # -- looking ----------------------------------------------------------------------
+
+    def view_of(self, number: int) -> Membership:
+        member = self.nodes[number].work.member
+        assert member is not None
+        return member
+
+    def agreed(self) -> bool:
+        """Whether every member's view has those that run, and no others, as here."""
+        running = set(self.nodes)
+        for number in running:
+            view = self.view_of(number).view
+            if {n for n, e in view.entries.items() if e.state in HERE} != running - {number}:
+                return False
+        return True
+
+    def run(self) -> Found:
+        self.play()
+        found = self.found
+        found.wrong = self.wrong_found or found.wrong
+        found.events, found.faults = self.events, dict(self.faults_played)
+        seconds = max(1.0, self.at / SECOND)
+        found.bytes_per_s = sum(self.bytes) / seconds / self.scene.members
+        found.messages_per_s = sum(self.sent) / seconds / self.scene.members
+        return found
--- /dev/null
+++ b/vetchusher/membership/member.py
@@ -0,0 +1,537 @@
+"""The face of membership at one ingress: it probes, answers, doubts itself, and tells on what is new."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+
+from vetchusher.tier import Envelope, Letter, Tell
+
+from . import messages
+from .messages import NOBODY, RECORDS_SEALED, Message, Topic
+from .probe import MOST_ERRANDS, Errand, Paths, Probe, way_of
+from .records import ACCUSATIONS, BEAT_US, HERE, LIVING, MOST_BEAT, MOST_LIFE, Record, State
+from .rules import (
+    AGAIN_MOST,
+    BUDDIES,
+    DIRECT_PART,
+    HEALTH_MOST,
+    HELPERS,
+    JOIN_PERIODS,
+    LOST_EVERY,
+    NEWS_TO,
+    REFRESHED,
+    SYNC_PARTS,
+    Rules,
+)
+from .view import Change, View
+
+SILENT_PERIODS = 3  # without an answer: nobody hears this member, or it hears nobody
+TOLD_PERIODS = 20  # for which the other end's word on a path holds
+TWIN_PERIODS = 5  # for which it is told that a number has two processes
+FAREWELLS = 8  # members told at once that this one has left
+MOST_SYNCS = 4  # members that wait for a whole view here; others ask elsewhere
+ANSWERS = frozenset((Topic.ACK, Topic.RELAYED, Topic.NACK, Topic.VIEW))
+
+Acts = list[Tell]
+
+
+class Side(Enum):
+    """What part of the tier a member sees."""
+
+    MAJORITY = "majority"
+    MINORITY = "minority"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class Figures:
+    sent: int = 0
+    heard: int = 0
+    bytes: int = 0
+    late_ticks: int = 0
+    accused: int = 0  # words heard that this member is suspected or dead
+    refused_doubt: int = 0  # own probes that failed and accused nobody
+
+
+class Membership:
+    """One process's part.  Times are us on the clock handed in, which goes on while it is stopped."""
+
+    def __init__(self, rules: Rules, number: int, life: int, envelope: Envelope, rng: random.Random) -> None:
+        """:param life: Unix ms of the start"""
+        self.rules, self.number, self.life, self.rng = rules, number, min(MOST_LIFE, life), rng
+        self.envelope = envelope
+        self.view = View(rules, number, rng)
+        self.paths = Paths()
+        self.figures = Figures()
+        self.health = 0
+        self.began = self.ticked_at = self.probe_at = self.lost_at = self.period_at = 0
+        self.jump = 0  # beats over the own clock's, taken to be above an accusation's
+        self.probe: Probe | None = None
+        self.order: list[int] = []
+        self.errands: dict[int, Errand] = {}
+        self.again: dict[int, tuple[int, int, int]] = {}  # by errand: member, since when, its beat then
+        self.errand = 0
+        self.cursor = 0
+        self.self_news = 0  # times the own record is still to be told first
+        self.heard_at = self.answered_at = -1
+        self.woke_at = -1  # in doubt since then, until others have answered
+        self.since_woke: set[int] = set()
+        self.settled = False  # a whole view has come, or nobody gave one
+        self.parts: set[int] = set()
+        self.asked_view_at = -1
+        self.syncs: deque[tuple[int, int]] = deque()  # member, next part
+        self.leaving = False
+        self.superseded = 0  # life of the newer process of this number
+        self.twins: dict[int, int] = {}  # by number: when an older process of it answered; gone a while later
+        self.twin_since = self.twin_at = -1  # this number's own other process
+        self.twin_told = False
+
+    # -- what holds -------------------------------------------------------------------
+
+    def begin(self, now: int) -> None:
+        self.began = self.ticked_at = self.period_at = now
+        self.probe_at = now + self.rng.randrange(self.rules.period)
+        self.lost_at = now + self.rules.period
+        self.self_news = self.rules.sends
+
+    def beat(self, now: int) -> int:
+        return min(MOST_BEAT, (now - self.began) // BEAT_US + self.jump)
+
+    def own(self, now: int) -> Record:
+        return Record(self.life, self.beat(now), State.LEAVING if self.leaving else State.ALIVE)
+
+    def answered(self, now: int) -> bool:
+        """Whether somebody hears this member and is heard by it."""
+        return self.answered_at >= 0 and now - self.answered_at < SILENT_PERIODS * self.rules.period
+
+    def alone(self, target: int) -> bool:
+        """Whether there is nobody else who could be asked."""
+        return not any(e.state in HERE for n, e in self.view.entries.items() if n != target)
+
+    def doubts(self, now: int) -> bool:
+        """Whether this member's word on others is worth nothing now."""
+        return self.woke_at >= 0 or bool(self.superseded) or self.has_twin(now) or not self.settled
+
+    def has_twin(self, now: int) -> bool:
+        return self.twin_at >= 0 and now - self.twin_at < TWIN_PERIODS * self.rules.period
+
+    def side(self, now: int) -> Side:
+        if not self.settled or self.woke_at >= 0:
+            return Side.UNKNOWN
+        counts = self.view.counts()
+        members = self.rules.members - counts[State.LEFT]
+        there = 1 + (sum(counts[s] for s in LIVING) if self.answered(now) else 0)
+        return Side.MAJORITY if 2 * there > members else Side.MINORITY
+
+    def living(self) -> list[int]:
+        """Numbers taken to serve, this one and the suspected among them: what others may reckon with."""
+        return sorted([*self.view.here(), self.number])
+
+    def trouble(self, now: int) -> str:
+        """For the own readiness figures: what is wrong with this member's messages; it serves on."""
+        if not self.settled or self.rules.members < 2:
+            return ""
+        since = SILENT_PERIODS * self.rules.period
+        if self.heard_at < 0 or now - self.heard_at > since:
+            return "hears nobody"
+        return "is heard by nobody" if not self.answered(now) else ""
+
+    # -- time -------------------------------------------------------------------------
+
+    def tick(self, now: int) -> Acts:
+        acts: Acts = []
+        self.look_at_stall(now)
+        if now - self.period_at >= self.rules.period:
+            self.period_at = now
+            self.turn(now, acts)
+        self.look_at_probe(now, acts)
+        if now >= self.probe_at and self.probe is None:
+            self.next_probe(now, acts)
+        if now >= self.lost_at:
+            self.lost_at = now + LOST_EVERY * self.rules.period
+            self.call_lost(now, acts)
+        self.tell_news(now, acts)
+        self.tell_views(now, acts)
+        if not self.doubts(now) and (self.answered(now) or self.alone(self.number)):
+            self.view.expire(now)
+        elif not self.alone(self.number):
+            self.view.put_off(now - self.ticked_at)
+        self.ticked_at = now
+        return acts
+
+    def look_at_stall(self, now: int) -> None:
+        """Danger: one that stood still finds every answer late, and everybody dead."""
+        late = now - self.ticked_at - self.rules.tick
+        if late <= self.rules.period // 2:
+            return
+        self.figures.late_ticks += 1
+        self.health = min(HEALTH_MOST, self.health + 1)
+        self.woke_at, self.probe, self.probe_at = now, None, now
+        self.since_woke.clear()
+        self.again.clear()
+        self.view.put_off(late)
+        self.view.vouching_from = -1
+
+    def turn(self, now: int, acts: Acts) -> None:
+        """Once a period."""
+        rules = self.rules
+        if self.answered(now):
+            if self.view.vouching_from < 0:
+                self.view.vouching_from = now
+        else:
+            self.view.vouching_from = -1
+        for errand in [n for n, e in self.errands.items() if now - e.began >= rules.period]:
+            del self.errands[errand]
+        self.paths.sweep(now, set(self.view.here()), TOLD_PERIODS * rules.period)
+        for number in [n for n, at in self.twins.items() if now - at > TWIN_PERIODS * rules.period]:
+            del self.twins[number]
+        if self.twin_at >= 0 and now - self.twin_at > 2 * TWIN_PERIODS * rules.period:
+            self.twin_at = self.twin_since = -1
+            self.twin_told = False
+        self.look_again(now, acts)
+        if not self.settled:
+            self.join(now, acts)
+
+    def join(self, now: int, acts: Acts) -> None:
+        if now - self.began > JOIN_PERIODS * self.rules.period or self.rules.members < 2:
+            self.settled = True
+            return
+        known = self.view.here()
+        self.ask_view(now, self.rng.choice(known or sorted(self.view.entries)), acts)
+
+    def ask_view(self, now: int, member: int, acts: Acts) -> None:
+        self.asked_view_at = now
+        self.parts.clear()
+        self.say(now, member, Topic.SYNC, acts)
+
+    # -- probing ----------------------------------------------------------------------
+
+    def next_number(self) -> int:
+        self.errand = (self.errand + 1) & 0xFFFF
+        return self.errand
+
+    def next_probe(self, now: int, acts: Acts) -> None:
+        """Each in turn, in an order drawn anew each round; nobody waits longer than two rounds."""
+        self.probe_at = now + self.rules.period * (1 + self.health // 2)
+        while True:
+            if not self.order:
+                there = State.UNKNOWN if not self.settled else None
+                self.order = [n for n, e in self.view.entries.items() if e.state in HERE or e.state is there]
+                self.rng.shuffle(self.order)
+                if not self.order:
+                    return
+            target = self.order.pop()
+            if self.view.state_of(target) in HERE or not self.settled:
+                break
+        period, stretch = self.rules.period, 1 + self.health / 4
+        claim = self.view.reckoned(self.view.entries[target], now)
+        number = self.next_number()
+        direct, due = now + int(DIRECT_PART * period * stretch), now + int(period * stretch)
+        self.probe = Probe(target, number, now, claim, direct, due)
+        self.say(now, target, Topic.PING, acts, errand=number)
+
+    def look_at_probe(self, now: int, acts: Acts) -> None:
+        probe = self.probe
+        if probe is None:
+            return
+        if now >= probe.due:
+            self.probe = None
+            if not probe.reached:
+                self.failed(now, probe)
+        elif now >= probe.direct_due and not probe.helpers:
+            others = [n for n in self.view.here() if n != probe.target and self.view.state_of(n) in LIVING]
+            probe.helpers = tuple(self.rng.sample(others, min(HELPERS, len(others))))
+            bad = bool(self.paths.bad(now, probe.target, TOLD_PERIODS * self.rules.period))
+            for helper in probe.helpers:
+                self.say(now, helper, Topic.ASK, acts, probe.errand, probe.target, int(bad))
+
+    def failed(self, now: int, probe: Probe) -> None:
+        entry = self.view.entries[probe.target]
+        heard = entry.direct_at >= probe.began or (
+            entry.record.state in LIVING and entry.record.beat > probe.claim
+        )
+        if heard:
+            return
+        if self.doubts(now) or not (probe.answered or self.alone(probe.target)):
+            self.figures.refused_doubt += 1
+            self.health = min(HEALTH_MOST, self.health + 1)
+            return
+        self.view.accuse(now, probe.target, probe.claim)
+
+    def look_again(self, now: int, acts: Acts) -> None:
+        """Beside the probe: paths under watch, and suspects, whom a few of all ask directly."""
+        for errand, (member, began, claim) in list(self.again.items()):
+            del self.again[errand]
+            entry = self.view.entries[member]
+            if entry.direct_at >= began or not self.answered(now) or self.doubts(now):
+                continue
+            if entry.state is State.SUSPECTED:
+                self.view.accuse(now, member, claim)
+            elif entry.state in HERE:
+                self.struck(now, member)
+        some = list(self.paths.watched)[: AGAIN_MOST // 2]
+        for member in some:  # to the end of the line, so that each is tried
+            self.paths.watched[member] = self.paths.watched.pop(member)
+        odds = BUDDIES / max(1.0, len(self.view.here()))
+        some += [n for n in sorted(self.view.suspects) if self.rng.random() < odds][: AGAIN_MOST - len(some)]
+        for member in some:
+            number, entry = self.next_number(), self.view.entries[member]
+            self.again[number] = (member, now, self.view.reckoned(entry, now))
+            self.say(now, member, Topic.PING, acts, errand=number)
+
+    def struck(self, now: int, member: int) -> None:
+        if self.paths.strike(now, member):
+            self.view.change("path bad", member, self.view.entries[member].record, self.number, 0, now)
+
+    def call_lost(self, now: int, acts: Acts) -> None:
+        """A healed cut, or a member that nobody here has heard of."""
+        lost = [n for n, e in self.view.entries.items() if e.state in (State.DEAD, State.UNKNOWN)]
+        if lost:
+            self.say(now, self.rng.choice(lost), Topic.PING, acts, errand=self.next_number())
+
+    # -- hearing ----------------------------------------------------------------------
+
+    def heard(self, now: int, letter: Letter) -> Acts:
+        acts: Acts = []
+        message = messages.read(letter.topic, letter.body, self.rules.members)
+        if message is None or letter.sender == self.number:
+            self.envelope.refuse("unreadable")
+            return acts
+        sender = letter.sender
+        self.figures.heard += 1
+        self.heard_at = now
+        healed = self.direct(now, sender, message)
+        for number, record in message.records:
+            if number == self.number:
+                self.about_self(now, record)
+            else:
+                self.view.take(now, number, record, sender)
+        if message.topic in ANSWERS:
+            self.was_answered(now, sender, message)
+        elif message.topic in (Topic.PING, Topic.NEWS) and message.about != NOBODY:
+            self.twin_told_of(now, message.about, message.extra)
+        self.answer(now, sender, message, acts)
+        if healed and now - self.asked_view_at >= self.rules.period:
+            self.ask_view(now, sender, acts)
+        return acts
+
+    def direct(self, now: int, sender: int, message: Message) -> bool:
+        """Its own word that it lives; true if it was thought dead."""
+        entry = self.view.entries[sender]
+        entry.direct_at = now
+        if message.life < entry.record.life:
+            self.twins[sender] = now
+            return False
+        healed = entry.state is State.DEAD and message.life == entry.record.life
+        if healed:
+            # The cut hid us from its side too: neither side's word on the other is worth anything.
+            self.view.muted_until = max(self.view.muted_until, now + self.rules.known)
+        state = State.LEAVING if message.flags & messages.LEAVING else State.ALIVE
+        self.view.take(now, sender, Record(message.life, message.beat, state), sender)
+        return healed
+
+    def about_self(self, now: int, told: Record) -> None:
+        if told.life > self.life:
+            self.later_life(now, told)
+        elif told.life == self.life and told.state is State.LEFT and not self.leaving:
+            self.life += 1  # a word that cannot be refuted within this life
+            self.self_news = self.rules.sends
+        elif told.life == self.life and told.state in ACCUSATIONS:
+            self.figures.accused += 1
+            self.jump += max(0, told.beat + 1 - self.beat(now))
+            self.self_news = self.rules.sends
+            if self.woke_at < 0 and self.figures.accused % 4 == 1:
+                self.health = min(HEALTH_MOST, self.health + 1)
+
+    def later_life(self, now: int, told: Record) -> None:
+        """This number has, or had, a process that began later than this one by its own word."""
+        newborn = now - self.began < JOIN_PERIODS * self.rules.period and not self.leaving
+        ended = told.state in (State.DEAD, State.LEFT)
+        if told.life < MOST_LIFE and (newborn or (ended and not self.leaving)):
+            self.life, self.superseded = told.life + 1, 0
+            self.self_news = self.rules.sends
+        else:
+            self.superseded = told.life
+            self.twin_seen(now)
+
+    def twin_seen(self, now: int) -> None:
+        if self.twin_since < 0:
+            self.twin_since = now
+        self.twin_at = now
+        if now - self.twin_since > self.rules.twins and not self.twin_told:
+            self.twin_told = True
+            self.view.change("number used twice", self.number, self.own(now), self.number, 0, now)
+
+    def twin_told_of(self, now: int, number: int, age_ms: int) -> None:
+        at = now - age_ms * 1000
+        if now - at > TWIN_PERIODS * self.rules.period:
+            return
+        if number == self.number:
+            self.twin_seen(now)
+        else:
+            self.twins[number] = max(at, self.twins.get(number, at))
+
+    def was_answered(self, now: int, sender: int, message: Message) -> None:
+        self.answered_at = now
+        if self.woke_at >= 0:
+            self.since_woke.add(sender)
+            if len(self.since_woke) >= min(HELPERS, len(self.view.here())):
+                self.woke_at = -1
+        probe = self.probe
+        if probe is not None:
+            probe.answered = True
+
+    def answer(self, now: int, sender: int, message: Message, acts: Acts) -> None:
+        topic, errand = message.topic, message.errand
+        if topic is Topic.PING:
+            self.say(now, sender, Topic.ACK, acts, errand)
+        elif topic is Topic.ACK:
+            self.acked(now, sender, errand)
+        elif topic is Topic.ASK:
+            self.help(now, sender, message, acts)
+        elif topic is Topic.FOR:
+            if message.extra and message.about != NOBODY:
+                self.paths.told[message.about] = now
+            heard_ms = messages.FOREVER
+            other = self.view.entries.get(message.about)
+            if other is not None and other.direct_at >= 0:
+                heard_ms = min(messages.FOREVER - 1, (now - other.direct_at) // 1000)
+            self.say(now, sender, Topic.ACK_FOR, acts, errand, message.about, heard_ms)
+        elif topic is Topic.ACK_FOR:
+            done = self.errands.pop(errand, None)
+            if done is not None and done.target == sender:
+                self.say(now, done.asker, Topic.RELAYED, acts, done.errand, sender, message.extra)
+        elif topic is Topic.RELAYED:
+            self.relayed(now, message)
+        elif topic is Topic.SYNC:
+            if len(self.syncs) < MOST_SYNCS and all(to != sender for to, _ in self.syncs):
+                self.syncs.append((sender, 0))
+        elif topic is Topic.VIEW:
+            self.parts.add(message.about)
+            self.settled = self.settled or len(self.parts) >= message.extra
+
+    def acked(self, now: int, sender: int, errand: int) -> None:
+        if self.paths.good(sender):
+            self.view.change("path good", sender, self.view.entries[sender].record, self.number, 0, now)
+        self.again.pop(errand, None)
+        probe = self.probe
+        if probe is not None and probe.errand == errand and probe.target == sender:
+            self.probe = None
+            self.health = max(0, self.health - 1)
+
+    def relayed(self, now: int, message: Message) -> None:
+        """Danger: a bad path between two members looks like the death of one of them."""
+        probe = self.probe
+        if probe is None or probe.errand != message.errand or probe.target != message.about:
+            return
+        if not probe.reached:
+            probe.reached = True
+            self.health = max(0, self.health - 1)
+            way = way_of(message.extra, now - probe.began)
+            if self.paths.strike(now, probe.target, way):
+                record = self.view.entries[probe.target].record
+                self.view.change("path bad", probe.target, record, self.number, 0, now)
+
+    def help(self, now: int, sender: int, message: Message, acts: Acts) -> None:
+        """Ping somebody for another; who asks is told at once that it is heard."""
+        if message.about in (NOBODY, self.number, sender):
+            return
+        self.say(now, sender, Topic.NACK, acts, message.errand, message.about)
+        if len(self.errands) < MOST_ERRANDS:
+            number = self.next_number()
+            self.errands[number] = Errand(sender, message.errand, message.about, now)
+            self.say(now, message.about, Topic.FOR, acts, number, sender, message.extra)
+
+    # -- telling ----------------------------------------------------------------------
+
+    def say(
+        self,
+        now: int,
+        to: int,
+        topic: Topic,
+        acts: Acts,
+        errand: int = 0,
+        about: int = NOBODY,
+        extra: int = 0,
+        records: list[tuple[int, Record]] | None = None,
+    ) -> None:
+        if topic in (Topic.PING, Topic.NEWS) and self.twins:
+            about, seen = next(iter(self.twins.items()))
+            extra = min(0xFFFF, (now - seen) // 1000)
+        carried = records if records is not None else self.carried(now, to, topic)
+        flags = messages.LEAVING if self.leaving else 0
+        told = Message(topic, self.life, self.beat(now), flags, errand, about, extra, tuple(carried))
+        data = self.envelope.write(topic, messages.write(told))
+        self.figures.sent += 1
+        self.figures.bytes += len(data)
+        acts.append(Tell(to, data))
+
+    def carried(self, now: int, to: int, topic: Topic) -> list[tuple[int, Record]]:
+        """What goes along: what the receiver must know of itself, news, and a few others in turn."""
+        told = []
+        entry = self.view.entries[to]
+        if entry.record.state in ACCUSATIONS or to in self.twins:
+            told.append((to, self.view.told_as(now, to)))
+        room = RECORDS_SEALED - len(told)
+        told += self.view.next_news(now, room)
+        if topic in (Topic.PING, Topic.ACK):
+            numbers = list(self.view.entries)
+            for _ in range(min(REFRESHED, RECORDS_SEALED - len(told), len(numbers))):
+                self.cursor = (self.cursor + 1) % len(numbers)
+                number = numbers[self.cursor]
+                if number != to and self.view.tellable(now, number):
+                    told.append((number, self.view.told_as(now, number)))
+        return told
+
+    def tell_news(self, now: int, acts: Acts) -> None:
+        """Danger: news that waits for the next ping goes round too late for whoever is accused."""
+        if not self.view.news and self.self_news <= 0:
+            return
+        here = [n for n in self.view.here() if self.view.state_of(n) in LIVING]
+        self.self_news -= 1
+        for member in self.rng.sample(here, min(NEWS_TO, len(here))):
+            self.say(now, member, Topic.NEWS, acts)
+
+    def tell_views(self, now: int, acts: Acts) -> None:
+        """Parts of a whole view to one who asked: a few a tick, so that nobody's inbox is filled."""
+        if not self.syncs:
+            return
+        to, part = self.syncs[0]
+        known = [n for n in self.view.entries if n != to and self.view.tellable(now, n)]
+        parts = max(1, -(-len(known) // RECORDS_SEALED))
+        for number in range(part, min(parts, part + SYNC_PARTS)):
+            some = known[number * RECORDS_SEALED : (number + 1) * RECORDS_SEALED]
+            told = [(n, self.view.told_as(now, n)) for n in some]
+            self.say(now, to, Topic.VIEW, acts, about=number, extra=parts, records=told)
+        if part + SYNC_PARTS >= parts:
+            self.syncs.popleft()
+        else:
+            self.syncs[0] = (to, part + SYNC_PARTS)
+
+    def stop(self, now: int) -> Acts:
+        """SIGTERM: it serves on for a while; others must not take its silence for a death."""
+        self.leaving = True
+        self.self_news = self.rules.sends
+        acts: Acts = []
+        if not self.superseded:
+            self.tell_news(now, acts)
+        return acts
+
+    def left(self, now: int) -> Acts:
+        """The process ends now.  An older one of two says nothing: its number lives on."""
+        acts: Acts = []
+        if self.superseded:
+            return acts
+        here = self.view.here()
+        gone = Record(self.life, self.beat(now), State.LEFT)
+        for member in self.rng.sample(here, min(FAREWELLS, len(here))):
+            self.say(now, member, Topic.NEWS, acts, records=[(self.number, gone)])
+        return acts
+
+    def changes(self) -> list[Change]:
+        """What changed since this was asked last."""
+        done, self.view.changes = self.view.changes, []
+        return done
--- /dev/null
+++ b/vetchusher/membership/probe.py
@@ -0,0 +1,102 @@
+"""What one member has asked of others and waits for: its probe, errands for others, paths under watch."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .messages import FOREVER
+from .rules import PATH_STRIKES
+
+MOST_WATCHED = 32  # paths; beyond them the next failures are not looked into
+MOST_ERRANDS = 128  # pings for others under way; beyond them who asks is not helped
+
+
+class Way(Enum):
+    """Which direction of a path is bad, as far as is known."""
+
+    TO = "it does not hear us"
+    FROM = "we do not hear it"
+
+
+@dataclass(slots=True)
+class Probe:
+    """The one probe of a period.
+
+    :param claim: a beat that the target had when it began, at the latest
+    :param answered: somebody has answered since it began, so this member is heard
+    """
+
+    target: int
+    errand: int
+    began: int
+    claim: int
+    direct_due: int
+    due: int
+    helpers: tuple[int, ...] = ()
+    answered: bool = False
+    reached: bool = False  # through others
+
+
+@dataclass(slots=True, frozen=True)
+class Errand:
+    """A ping made for another member; gone when answered, or after a period."""
+
+    asker: int
+    errand: int  # the asker's number of it
+    target: int
+    began: int
+
+
+@dataclass(slots=True)
+class Path:
+    strikes: int = 0
+    way: Way = Way.TO
+    bad_since: int = -1
+
+
+@dataclass(slots=True)
+class Paths:
+    """Paths to members that others reach.  An entry goes when the member answers directly, or is not there
+    any more; what other ends told goes `told_us` after it was told last."""
+
+    watched: dict[int, Path] = field(default_factory=dict)
+    told: dict[int, int] = field(default_factory=dict)  # by member: when it said that it lacks our answers
+
+    def strike(self, now: int, member: int, way: Way | None = None) -> bool:
+        """One direct failure more; true if the path has just become bad."""
+        path = self.watched.get(member)
+        if path is None:
+            if len(self.watched) >= MOST_WATCHED:
+                return False
+            path = self.watched[member] = Path()
+        path.strikes += 1
+        path.way = way or path.way
+        if path.bad_since < 0 and path.strikes >= PATH_STRIKES:
+            path.bad_since = now
+            return True
+        return False
+
+    def good(self, member: int) -> bool:
+        """It answered directly; true if the path had been bad."""
+        path = self.watched.pop(member, None)
+        return path is not None and path.bad_since >= 0
+
+    def bad(self, now: int, member: int, told_us: int) -> str:
+        """Why the path to a member is taken to be bad; empty: it is not."""
+        path = self.watched.get(member)
+        if path is not None and path.bad_since >= 0:
+            return path.way.value
+        told = self.told.get(member, -1)
+        return Way.FROM.value if told >= 0 and now - told < told_us else ""
+
+    def sweep(self, now: int, here: set[int], told_us: int) -> None:
+        for member in [m for m in self.watched if m not in here]:
+            del self.watched[member]
+        for member in [m for m, at in self.told.items() if now - at >= told_us]:
+            del self.told[member]
+
+
+def way_of(heard_ms: int, asked_us: int) -> Way:
+    """From how long ago the member says it heard us last, and since when we ask it."""
+    return Way.FROM if heard_ms != FOREVER and heard_ms * 1000 <= asked_us else Way.TO
