--- a/vetchusher/emulator/duties_rig.py
+++ b/vetchusher/emulator/duties_rig.py
@@ -76,6 +76,8 @@
     wrong_clocks: float = 0.01
     shares: bool = True  # whether the processes are given the fleet's file at all
     engine: EtcdServer | None = None  # instead of voters of our own
+    membership: dict[str, int] | None = None  # as in the fleet's file; none: switched off
+    inbox_per_s: float = 100.0
     rng: random.Random = field(init=False)
     paths: Paths = field(init=False)
     processes: Processes = field(init=False)
@@ -125,7 +127,7 @@
         self, n: int, port: int, discovery: int, sink: int, path: DatagramPath, hearing: tuple[str, int]
     ) -> None:
         told = settings(n, self.members, True)
-        told["extra"]["counter"] = False
+        told["extra"] |= {"counter": False, "inbox_per_s": self.inbox_per_s}
         self.processes.configure(
             n,
             {
@@ -147,6 +149,8 @@
             "log_renewals": True,
             "clock_rate": 1.0 + self.rng.choice((-1, 0, 1)) * self.wrong_clocks,
         }
+        if self.membership is not None:
+            fleet["membership"] = self.membership
         fleet |= {"engine": self.engine_url} if self.engine_url else {"voters": list(range(self.voters))}
         (self.folder / f"fleet{n}.json").write_text(json.dumps(fleet))
 
