--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build dev test lint run bench-counter-loss bench-counter-loss-sockets bench-duties bench-duties-processes
+.PHONY: build dev test lint run bench-counter-loss bench-counter-loss-sockets bench-duties bench-duties-processes bench-members \
+	bench-members-processes
 
 build:
 	sh deploy/build
@@ -36,3 +37,15 @@
 	$(PYTHON) -m benchmarks.duties processes --rounds 8 --jobs 4 --keep benchmarks/results/duties-processes.md
 	$(PYTHON) -m benchmarks.duties processes --rounds 2 --jobs 2 --members 9 --voters 5 --seed 50 \
 		--keep benchmarks/results/duties-processes-9.md
+
+bench-members: dev
+	$(PYTHON) -m benchmarks.members ways --sizes 5,40,200 --jobs 6 --keep benchmarks/results/members-ways.md \
+		--chart benchmarks/results/members-ways.png
+	$(PYTHON) -m benchmarks.members planted --runs 3 --jobs 6 --keep benchmarks/results/members-planted.md
+
+bench-members-processes: dev
+	$(PYTHON) -m benchmarks.members cpu --keep benchmarks/results/members-cpu.md
+	$(PYTHON) -m benchmarks.members processes --rounds 3 --jobs 4 --keep benchmarks/results/members-processes.md
+	$(PYTHON) -m benchmarks.members processes --members 12 --jobs 2 --seed 20 --keep benchmarks/results/members-processes-12.md
+	$(PYTHON) -m benchmarks.members processes --members 40 --jobs 1 --seed 30 --period 1000 --pause 3000 \
+		--keep benchmarks/results/members-processes-40.md
--- a/benchmarks/counter_loss.py
+++ b/benchmarks/counter_loss.py
@@ -14,6 +14,7 @@
   --ingresses N  Ingresses of the tier [default: 3].
   --firms N      Member firms [default: 48].
   --rows LIST    Names of rows, with commas between them; without it, all.
+  --wrong-views  Each ingress is told another drawn view of who lives, each second (virtual time only).
   --deaf         The ingresses may not send one another datagrams.
   --deployment NAME  The shape of the deployment, first or second (units settled, a ceiling) [default: first].
   --jobs N       Runs at the same time [default: 4].
@@ -76,10 +77,12 @@
     bytes_each: float
 
 
-def scene_of(row: str, seed: int, ingresses: int, firms: int, deaf: bool, deployment: str) -> Scene:
+def scene_of(
+    row: str, seed: int, ingresses: int, firms: int, deaf: bool, deployment: str, wrong_views: bool
+) -> Scene:
     faults, changed = ROWS[row]
     base = Scene(seed=seed, ingresses=ingresses, firms=firms, script=Script(faults), peers=not deaf)
-    base.deployment = DEPLOYMENTS[deployment]
+    base.deployment, base.wrong_views = DEPLOYMENTS[deployment], wrong_views
     for name, value in changed.items():
         setattr(base, name, value)
     return base
@@ -121,13 +124,13 @@
 
 def tables(play: Callable[[Scene], Run], told: dict[str, object], rows: list[str]) -> list[str]:
     seeds, ingresses, firms = (int(str(told[n])) for n in ("--seeds", "--ingresses", "--firms"))
-    deployment = str(told["--deployment"])
+    deployment, deaf, wrong = str(told["--deployment"]), bool(told["--deaf"]), bool(told["--wrong-views"])
     lines = HEAD.split("\n")
     print("\n".join(lines), flush=True)
     with ProcessPoolExecutor(int(str(told["--jobs"]))) as pool:
         due = {
             row: [
-                pool.submit(play, scene_of(row, seed, ingresses, firms, bool(told["--deaf"]), deployment))
+                pool.submit(play, scene_of(row, seed, ingresses, firms, deaf, deployment, wrong))
                 for seed in range(1, seeds + 1)
             ]
             for row in rows
@@ -153,6 +156,7 @@
     lines = tables(play_virtual if mode == "virtual" else play_sockets, told, rows)
     if told["--keep"]:
         peers = "no messages" if told["--deaf"] else "messages, 7% lost"
+        peers += ", views drawn anew each second" if told["--wrong-views"] else ""
         title = (
             f"# Counter loss, {mode}: {told['--ingresses']} ingresses, {told['--firms']} firms, "
             f"{told['--seeds']} seeds, {told['--deployment']} deployment, {peers}\n\n"
--- a/tests/test_duties_processes.py
+++ b/tests/test_duties_processes.py
@@ -312,7 +312,9 @@
 def test_what_is_switched_off_is_not_loaded():
     code = (
         "import sys, vetchusher.net.cli; "
-        "sys.exit(any(m.startswith(('vetchusher.duties', 'vetchusher.tier')) for m in sys.modules))"
+        "off = ('vetchusher.duties', 'vetchusher.tier', 'vetchusher.membership.'); "
+        "on = {m for m in sys.modules if m.startswith(off)}; "
+        "sys.exit(on != {'vetchusher.membership.backoff'})"
     )
     assert subprocess.run([sys.executable, "-c", code], timeout=60).returncode == 0
 
--- a/vetchusher/emulator/virtual.py
+++ b/vetchusher/emulator/virtual.py
@@ -53,6 +53,7 @@
     peers: bool = True
     loss: float = 0.07
     deployment: Deployment = FIRST
+    wrong_views: bool = False  # each ingress is told another drawn view of who lives, each second
 
 
 @dataclass(slots=True)
@@ -175,6 +176,14 @@
     def deliver(self, number: int, heard: api.PeerMessage, now: int) -> None:
         self.feed(number, now, heard)
 
+    def misinform(self, now: int) -> None:
+        """Views of who lives, worse than any detector's: drawn, for each ingress apart."""
+        numbers = range(self.scene.ingresses)
+        for number in numbers:
+            living = tuple(n for n in numbers if n == number or self.rng.random() < 0.5)
+            self.feed(number, now, api.TierSeen(living))
+        self.at(now + SECOND, self.misinform)
+
     def kill(self, number: int, now: int) -> None:
         self.ingresses.pop(number, None)
 
@@ -201,6 +210,8 @@
         scene = self.scene
         for number in range(scene.ingresses):
             self.at(0, partial(self.start, number))
+        if scene.wrong_views:
+            self.at(SECOND, self.misinform)
         for outage in scene.outages:
             self.at(outage.dies, partial(self.kill, outage.ingress))
             self.at(outage.returns, partial(self.start, outage.ingress))
--- a/vetchusher/membership/member.py
+++ b/vetchusher/membership/member.py
@@ -29,11 +29,11 @@
     SYNC_PARTS,
     Rules,
 )
+from .twins import TOLD_PERIODS, Twins
 from .view import Change, View
 
 SILENT_PERIODS = 3  # without an answer: nobody hears this member, or it hears nobody
-TOLD_PERIODS = 20  # for which the other end's word on a path holds
-TWIN_PERIODS = 5  # for which it is told that a number has two processes
+PATH_PERIODS = 20  # for which the other end's word on a path holds
 FAREWELLS = 8  # members told at once that this one has left
 MOST_SYNCS = 4  # members that wait for a whole view here; others ask elsewhere
 ANSWERS = frozenset((Topic.ACK, Topic.RELAYED, Topic.NACK, Topic.VIEW))
@@ -90,10 +90,7 @@
         self.tokens, self.paid_at = rules.out_per_s, 0  # datagrams that may be said on its own account
         self.leaving = False
         self.superseded = 0  # life of the newer process of this number
-        # By number: since when, and when last, an older process of it answered; gone a while later.
-        self.twins: dict[int, tuple[int, int]] = {}
-        self.twin_since = self.twin_at = -1  # this number's own other process
-        self.twin_told = False
+        self.twins = Twins(rules)
 
     # -- what holds -------------------------------------------------------------------
 
@@ -119,10 +116,7 @@
 
     def doubts(self, now: int) -> bool:
         """Whether this member's word on others is worth nothing now."""
-        return self.woke_at >= 0 or bool(self.superseded) or self.has_twin(now) or not self.settled
-
-    def has_twin(self, now: int) -> bool:
-        return self.twin_at >= 0 and now - self.twin_at < TWIN_PERIODS * self.rules.period
+        return self.woke_at >= 0 or bool(self.superseded) or self.twins.beside(now) or not self.settled
 
     def side(self, now: int) -> Side:
         if not self.settled or self.woke_at >= 0:
@@ -138,7 +132,7 @@
 
     def path(self, now: int, number: int) -> str:
         """What is wrong with the way to another member; empty: nothing known."""
-        return self.paths.bad(now, number, TOLD_PERIODS * self.rules.period)
+        return self.paths.bad(now, number, PATH_PERIODS * self.rules.period)
 
     def pay(self, now: int) -> bool:
         """Whether there is a datagram to spare for what is no answer and can wait."""
@@ -202,13 +196,9 @@
             self.view.vouching_from = -1
         for errand in [n for n, e in self.errands.items() if now - e.began >= rules.period]:
             del self.errands[errand]
-        self.paths.sweep(now, set(self.view.here()), TOLD_PERIODS * rules.period)
-        for number in [n for n, (_, at) in self.twins.items() if now - at > 4 * TWIN_PERIODS * rules.period]:
-            del self.twins[number]
-        self.view.stand_ins = {n for n in self.twins if self.stands_in(now, n)}
-        if self.twin_at >= 0 and now - self.twin_at > 2 * TWIN_PERIODS * rules.period:
-            self.twin_at = self.twin_since = -1
-            self.twin_told = False
+        self.paths.sweep(now, set(self.view.here()), PATH_PERIODS * rules.period)
+        self.twins.sweep(now)
+        self.view.stand_ins = self.twins.stand_ins(now)
         self.look_again(now, acts)
         if not self.settled:
             self.join(now, acts)
@@ -299,12 +289,6 @@
             return
         self.view.accuse(now, probe.target, probe.claim)
 
-    def stands_in(self, now: int, number: int) -> bool:
-        """Whether an older process has answered for a number for longer than an upgrade takes: the newer one
-        may have died, and must speak for itself."""
-        since, _ = self.twins.get(number, (now, now))
-        return now - since > self.rules.twins
-
     def look_again(self, now: int, acts: Acts) -> None:
         """Beside the probe: paths under watch, and suspects, whom a few of all ask directly."""
         for errand, (member, began, claim) in list(self.again.items()):
@@ -372,7 +356,7 @@
         entry = self.view.entries[sender]
         entry.direct_at = now
         if message.life < entry.record.life:
-            self.twins[sender] = (self.twins.get(sender, (now, now))[0], now)
+            self.twins.note(now, sender, now)
             return False
         healed = entry.state is State.DEAD and message.life == entry.record.life
         state = State.LEAVING if message.flags & messages.LEAVING else State.ALIVE
@@ -404,22 +388,14 @@
             self.twin_seen(now)
 
     def twin_seen(self, now: int) -> None:
-        if self.twin_since < 0:
-            self.twin_since = now
-        self.twin_at = now
-        if now - self.twin_since > self.rules.twins and not self.twin_told:
-            self.twin_told = True
+        if self.twins.own_seen(now):
             self.view.change("number used twice", self.number, self.own(now), self.number, 0, now)
 
     def twin_told_of(self, now: int, number: int, age_ms: int) -> None:
-        at = now - age_ms * 1000
-        if now - at > TWIN_PERIODS * self.rules.period:
-            return
-        if number == self.number:
+        if number != self.number:
+            self.twins.note(now, number, now - age_ms * 1000)
+        elif age_ms * 1000 <= TOLD_PERIODS * self.rules.period:
             self.twin_seen(now)
-        else:
-            since, last = self.twins.get(number, (at, at))
-            self.twins[number] = (since, max(at, last))
 
     def was_answered(self, now: int, sender: int, message: Message) -> None:
         self.answered_at = now
@@ -507,10 +483,8 @@
         extra: int = 0,
         records: list[tuple[int, Record]] | None = None,
     ) -> None:
-        if topic in (Topic.PING, Topic.NEWS) and self.twins:
-            number, (_, seen) = max(self.twins.items(), key=lambda twin: twin[1][1])
-            if now - seen <= TWIN_PERIODS * self.rules.period:
-                about, extra = number, (now - seen) // 1000
+        if topic in (Topic.PING, Topic.NEWS) and (twin := self.twins.newest(now)) is not None:
+            about, extra = twin
         carried = records if records is not None else self.carried(now, to, topic)
         flags = messages.LEAVING if self.leaving else 0
         told = Message(topic, self.life, self.beat(now), flags, errand, about, extra, tuple(carried))
@@ -524,7 +498,7 @@
         """What goes along: what the receiver must know of itself, news, and a few others in turn."""
         told = []
         entry = self.view.entries[to]
-        if entry.record.state in ACCUSATIONS or to in self.twins:
+        if entry.record.state in ACCUSATIONS or to in self.twins.seen:
             told.append((to, self.view.told_as(now, to)))
         room = RECORDS_SEALED - len(told)
         told += self.view.next_news(now, room)
--- a/vetchusher/membership/work.py
+++ b/vetchusher/membership/work.py
@@ -104,7 +104,7 @@
             "life": member.life,
             "side": member.side(at).value,
             "trouble": member.trouble(at),
-            "number_used_twice": member.twin_told,
+            "number_used_twice": member.twins.own_told,
             "doubts_itself": member.doubts(at),
             "health": member.health,
             "counts": counts,
