--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -29,7 +29,6 @@
 import asyncio
 import os
 import pathlib
-import platform
 import random
 import sys
 import tempfile
@@ -37,8 +36,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 
-from docopt import docopt
-
+from benchmarks.table import keep_table
 from vetchusher.emulator.duties_explorer import STARTS, Explored, explore, wander
 from vetchusher.emulator.duties_faults import PLANTED, planted
 from vetchusher.emulator.duties_rig import FAULTS, Outcome, Tier
@@ -256,17 +254,5 @@
 }
 
 
-def main(argv: list[str]) -> int:
-    told = docopt(__doc__, argv)
-    name = next(n for n in TABLES if told[n])
-    lines = TABLES[name](told)
-    print("\n".join(lines))
-    if told["--keep"]:
-        command = f"python -m benchmarks.duties {' '.join(argv)}"
-        title = f"# Duties: {name}\n\n`{command}`, Python {platform.python_version()}.\n"
-        pathlib.Path(told["--keep"]).write_text("\n".join([title, *lines]) + "\n")
-    return 1 if any("both held" in line or "not above" in line for line in lines) else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(keep_table(__doc__, TABLES, sys.argv[1:], "duties", ("both held", "not above")))
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -27,7 +27,6 @@
 
 import asyncio
 import pathlib
-import platform
 import random
 import sys
 import tempfile
@@ -35,9 +34,8 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 
-from docopt import docopt
-
 from benchmarks.duties import cpu_of, part
+from benchmarks.table import keep_table
 from vetchusher.emulator.members_checks import CHECKS
 from vetchusher.emulator.members_faults import PLANTED, planted
 from vetchusher.emulator.members_rig import MEMBER_FAULTS, MembersTier, times
@@ -297,17 +295,5 @@
 }
 
 
-def main(argv: list[str]) -> int:
-    told = docopt(__doc__, argv)
-    name = next(n for n in TABLES if told[n])
-    lines = TABLES[name](told)
-    print("\n".join(lines))
-    if told["--keep"]:
-        command = f"python -m benchmarks.members {' '.join(argv)}"
-        title = f"# Membership: {name}\n\n`{command}`, Python {platform.python_version()}.\n"
-        pathlib.Path(told["--keep"]).write_text("\n".join([title, *lines]) + "\n")
-    return 1 if any("which lives" in line or "not found" in line for line in lines) else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(keep_table(__doc__, TABLES, sys.argv[1:], "members", ("which lives", "not found")))
