--- a/vetchusher/emulator/members_rig.py
+++ b/vetchusher/emulator/members_rig.py
@@ -15,7 +15,7 @@
 from .duties_rig import Tier
 
 US_NS = 1_000
-PATIENCE_S = 30.0  # only what has already failed waits this long
+PATIENCE_S = 120.0  # only what has already failed waits this long
 
 
 @dataclass(slots=True, frozen=True)
