Cut a list into preferred parts once where nobody is dead; one place that strikes a path; dead code out

A path was struck and logged in two places, the rigs stopped and continued a process in two. Rules.parts, the result of View.take, Death.over and a count that nobody showed are gone.

--- a/vetchusher/emulator/duties_rig.py
+++ b/vetchusher/emulator/duties_rig.py
@@ -197,8 +197,11 @@
         await asyncio.sleep(leases * self.lease_s)
 
     async def stop(self, number: int, leases: float) -> None:
+        await self.stand_still(number, leases * self.lease_s)
+
+    async def stand_still(self, number: int, seconds: float) -> None:
         self.processes.signal(number, signal.SIGSTOP)
-        await self.last(leases)
+        await asyncio.sleep(seconds)
         self.processes.signal(number, signal.SIGCONT)
 
     async def kill(self, number: int) -> None:
--- a/vetchusher/emulator/members_rig.py
+++ b/vetchusher/emulator/members_rig.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import signal
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
@@ -148,9 +147,7 @@
         length = part * self.rules.pause / 1e6
         if part >= 1.0:
             self.excuse(number, length)
-        self.processes.signal(number, signal.SIGSTOP)
-        await asyncio.sleep(length)
-        self.processes.signal(number, signal.SIGCONT)
+        await self.stand_still(number, length)
 
     async def lose(self, number: int) -> None:
         """Killed, and away until everybody can know."""
--- a/vetchusher/emulator/members_world.py
+++ b/vetchusher/emulator/members_world.py
@@ -140,7 +140,6 @@
     absent: set[int] = field(
         default_factory=set
     )  # others that died since: what they learn later tells nothing
-    over: bool = False
 
     def times(self, others: int) -> tuple[float, float, float] | None:
         """Seconds until the first, half and all of so many others knew, less the absent; None: not all."""
@@ -189,8 +188,7 @@
         return member
 
     def started(self, node: Node[Member]) -> None:
-        if (death := self.open.pop(node.number, None)) is not None:
-            death.over = True
+        self.open.pop(node.number, None)
 
     def ticked(self, node: Node[Member]) -> None:
         self.carry(node, node.work.tick(node.now(self.at)))
--- a/vetchusher/membership/member.py
+++ b/vetchusher/membership/member.py
@@ -11,7 +11,7 @@
 
 from . import messages
 from .messages import NOBODY, RECORDS_SEALED, Message, Topic
-from .probe import MOST_ERRANDS, Errand, Paths, Probe, Step, way_of
+from .probe import MOST_ERRANDS, Errand, Paths, Probe, Step, Way, way_of
 from .records import ACCUSATIONS, BEAT_US, HERE, LIVING, MOST_BEAT, MOST_LIFE, Record, State
 from .rules import (
     AGAIN_MOST,
@@ -56,7 +56,6 @@
     bytes: int = 0
     late_ticks: int = 0
     accused: int = 0  # words heard that this member is suspected or dead
-    refused_doubt: int = 0  # own probes that failed and accused nobody
 
 
 class Membership:
@@ -284,7 +283,6 @@
         if (heard or told) and probe.target not in self.view.stand_ins:
             return
         if self.doubts(now) or not (probe.answered or self.alone(probe.target)):
-            self.figures.refused_doubt += 1
             self.health = min(HEALTH_MOST, self.health + 1)
             return
         self.view.accuse(now, probe.target, probe.claim)
@@ -312,8 +310,8 @@
             self.again[number] = (member, now, self.view.reckoned(entry, now))
             self.say(now, member, Topic.PING, acts, errand=number)
 
-    def struck(self, now: int, member: int) -> None:
-        if self.paths.strike(now, member):
+    def struck(self, now: int, member: int, way: Way | None = None) -> None:
+        if self.paths.strike(now, member, way):
             self.view.change("path bad", member, self.view.entries[member].record, self.number, 0, now)
 
     def call_lost(self, now: int, acts: Acts) -> None:
@@ -457,10 +455,7 @@
         if not probe.reached:
             probe.reached = True
             self.health = max(0, self.health - 1)
-            way = way_of(message.extra, now - probe.began)
-            if self.paths.strike(now, probe.target, way):
-                record = self.view.entries[probe.target].record
-                self.view.change("path bad", probe.target, record, self.number, 0, now)
+            self.struck(now, probe.target, way_of(message.extra, now - probe.began))
 
     def help(self, now: int, sender: int, message: Message, acts: Acts) -> None:
         """Ping somebody for another; who asks is told at once that it is heard."""
@@ -502,8 +497,7 @@
         entry = self.view.entries[to]
         if entry.record.state in ACCUSATIONS or to in self.twins.seen:
             told.append((to, self.view.told_as(now, to)))
-        room = RECORDS_SEALED - len(told)
-        told += self.view.next_news(now, room)
+        told += self.view.next_news(now, RECORDS_SEALED - len(told))
         if topic in (Topic.PING, Topic.ACK):
             numbers = list(self.view.entries)
             for _ in range(min(REFRESHED, RECORDS_SEALED - len(told), len(numbers))):
--- a/vetchusher/membership/rules.py
+++ b/vetchusher/membership/rules.py
@@ -5,19 +5,15 @@
 from dataclasses import dataclass
 from math import ceil, log, log2
 
-from .messages import RECORDS_SEALED
-
 HELPERS = 3  # asked at once where a ping was not answered; accusers beside the first that bring `shortest`
 NEWS_TO = 2  # members that one gossip tick tells
 TICKS = 5  # in a period: news is told, waits are looked at
 HEALTH_MOST = 8  # of Lifeguard's score of one's own troubles
 # Steps of a probe, in parts of a period.  Danger: with 7% lost, one ping and three helpers fail in 2 of 1,000
 # probes; at hundreds of members the tier would talk of nothing but false suspicions.
-PROBE_AGAIN, PROBE_HELP, PROBE_LAST = (
-    0.2,
-    0.4,
-    0.6,
-)  # ping again; ask others; ping again and ask further others
+PROBE_AGAIN = 0.2  # ping again
+PROBE_HELP = 0.4  # ask others
+PROBE_LAST = 0.6  # ping again and ask further others
 PATH_STRIKES = 6  # direct pings in a row that fail while others reach the member: the path is bad
 LOST_EVERY = 2  # periods between two calls to members taken to be lost
 AGAIN_MOST = 4  # members a period pinged beside the probe: bad paths, suspects
@@ -94,11 +90,6 @@
         """
         return (NEWS_TO * TICKS + HELPERS + 2) * 1e6 / self.period
 
-    @property
-    def parts(self) -> int:
-        """Datagrams of a whole view."""
-        return max(1, -(-self.members // RECORDS_SEALED))
-
     def fault(self) -> tuple[str, str] | None:
         """The field and what is wrong with it."""
         if self.period < 200_000:
--- a/vetchusher/membership/view.py
+++ b/vetchusher/membership/view.py
@@ -96,12 +96,12 @@
 
     # -- merging ----------------------------------------------------------------------
 
-    def take(self, now: int, number: int, told: Record, source: int) -> bool:
-        """Merge what somebody says of another member; true if it was news here."""
+    def take(self, now: int, number: int, told: Record, source: int) -> None:
+        """Merge what somebody says of another member."""
         entry = self.entries[number]
         accusation = told.state in ACCUSATIONS
         if accusation and now < self.muted_until:
-            return False
+            return
         same = told.life == entry.record.life
         if accusation and same and entry.record.state in LIVING:
             entry.record = self.vouched(now, number)
@@ -111,9 +111,8 @@
         if stands is entry.record or stands.key == entry.record.key:
             if accusation and same and entry.record.state in LIVING:
                 self.news[number] = 0  # somebody accuses one of whom later word is here
-            return False
+            return
         self.adopt(now, number, entry, told, source)
-        return True
 
     def adopt(self, now: int, number: int, entry: Entry, told: Record, source: int) -> None:
         reborn = told.life != entry.record.life
@@ -180,9 +179,8 @@
             self.witness(now, entry, number, self.number)
             return
         beat = max(entry.record.beat, beat)
-        self.adopt(
-            now, number, entry, Record(entry.record.life, beat, State.SUSPECTED, self.number), self.number
-        )
+        told = Record(entry.record.life, beat, State.SUSPECTED, self.number)
+        self.adopt(now, number, entry, told, self.number)
 
     def end_suspicion(self, number: int, entry: Entry) -> None:
         entry.accused_at = -1
--- a/vetchusher/membership/work.py
+++ b/vetchusher/membership/work.py
@@ -58,7 +58,7 @@
         done = self.carried(self.member.tick(self.clock(now))) if self.member else []
         if self.changes and now - self.logged_at >= LOG_US:
             self.logged_at = now
-            done += self.lines(now)
+            done += self.lines()
         return done
 
     def letter(self, now: int, letter: Letter) -> list[api.Action]:
@@ -69,7 +69,7 @@
 
     def left(self, now: int) -> list[api.Action]:
         done = self.carried(self.member.left(self.clock(now))) if self.member else []
-        return done + self.lines(now)
+        return done + self.lines()
 
     def seen(self, now: int) -> tuple[int, ...] | None:
         """Danger: parts of the servers that move with every suspicion cost more than they gain; a newcomer,
@@ -89,7 +89,7 @@
             self.changes += self.member.changes()
         return out
 
-    def lines(self, now: int) -> list[api.Action]:
+    def lines(self) -> list[api.Action]:
         """A line a kind of change: one change in its own fields, more of them as a list."""
         kinds: dict[str, list[dict[str, object]]] = {}
         for change in self.changes:
--- a/vetchusher/policy.py
+++ b/vetchusher/policy.py
@@ -414,7 +414,9 @@
         rules, n = self.settings, len(self.ready)
         preferred = subset((w.id for w in self.ready), rules.index, rules.gateways)
         # Danger: both sides of a cut think the other dead.  Cold workers go by the settings' parts alone.
-        wider = subset((w.id for w in self.ready), rules.index, rules.gateways, self.wide)
+        wider = preferred
+        if self.wide > 1:
+            wider = subset((w.id for w in self.ready), rules.index, rules.gateways, self.wide)
         self.near = [w for w in self.ready if w.id in wider]
         self.holders, mine = holders(n, rules.gateways), turn(rules.index, n, rules.gateways)
         work = slowstart.work_of(max(self.means), rules.classes)
