--- /dev/null
+++ b/vetchusher/comb/__init__.py
@@ -0,0 +1,1 @@
+"""The control state: epochs, primary, copies, witnesses, and the store on disk."""
--- /dev/null
+++ b/vetchusher/entrance/__init__.py
@@ -0,0 +1,1 @@
+"""Which ingresses serve, and whom the directory names to a client."""
--- /dev/null
+++ b/vetchusher/events.py
@@ -0,0 +1,51 @@
+"""The numbered events: what the logs of the system say.  docs/events.md explains each.
+
+The hundreds tell the package: 1 hive, 2 comb, 3 waggle, 4 scouts, 5 foragers, 6 entrance, 7 limits.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+
+class Event(IntEnum):
+    STARTED = 101
+    STOPPING = 102
+    STOPPED = 103
+    SETTINGS_READ_AGAIN = 104
+    SETTINGS_UNUSABLE = 105
+    CARRIER_FAILED = 106  # an effect could not be carried out
+    EPOCH_PROMISED = 201
+    PRIMARY = 202
+    PRIMARY_NO_MORE = 203
+    STATE_COMMITTED = 204
+    FORGETFUL = 205
+    REMEMBERED = 206
+    STORE_FAILED = 207
+    MEMBER_JOINED = 208
+    ORDER_REFUSED = 209
+    NEWS_TAKEN = 301
+    NEWS_UNUSABLE = 302
+    FELLOW_LOST = 303
+    LIST_READ = 401
+    LIST_FAILED = 402
+    SERVER_RESTED = 501
+    CONFIGURATION_IN_FORCE = 502
+    REQUESTS = 503  # figures of a period
+    INGRESS_SEEN = 601
+    INGRESS_LOST = 602
+    TOTALS_HELD = 701
+    TOTALS_LOST = 702
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """One line for the log: the event, and its figures."""
+
+    event: Event
+    facts: dict[str, object] = field(default_factory=dict)
+
+    def line(self) -> str:
+        told = " ".join(f"{name}={value}" for name, value in self.facts.items())
+        return f"{int(self.event)} {self.event.name.lower()} {told}".rstrip()
