News by vectors of versions, the platform's list as rows, and who serves

Rows with stamps tell deltas from where a ledger can vouch for them; a random test of authors that change and readers that pull from anybody holds it. Cold servers have one keeper named in their row.

--- /dev/null
+++ b/tests/test_waggle.py
@@ -0,0 +1,144 @@
+"""News: readers that pull deltas from any ledger end with the author's rows, whatever they skipped."""
+
+import random
+
+from testtools import TestCase
+
+from vetchusher.entrance.presence import SERVING_US, Presence
+from vetchusher.scouts.reader import Listed, Reader, read_page, read_row
+from vetchusher.waggle import wire_pb2 as wire
+from vetchusher.waggle.follower import BEAT_US, FRESH_US, Follower, SendBeat, SendPull
+from vetchusher.waggle.ledger import Ledger, message_of
+
+S = 1_000_000
+
+
+class Ledgers(TestCase):
+    def test_readers_that_pull_from_anybody_hold_what_the_author_wrote_under_their_stamp(self):
+        for seed in range(60):
+            rng = random.Random(seed)
+            written: dict[tuple[int, int], dict[str, bytes]] = {(0, 0): {}}
+            # The first two may author an epoch each; the second takes over from what it has pulled.
+            ledgers = [Ledger("scouts") for _ in range(5)]
+            author, stamp = ledgers[0], (1, 0)
+            for step in range(120):
+                if step == 60:
+                    author, stamp = ledgers[1], (2, 0)
+                if rng.random() < 0.4:
+                    stamp = (stamp[0], stamp[1] + 1)
+                    rows = {f"k{n}": b"%d" % rng.randrange(3) for n in range(6) if rng.random() < 0.7}
+                    author.publish(stamp, rows)
+                    written[stamp] = rows
+                reader, teller = rng.sample(ledgers, 2)
+                if reader is not author and (news := teller.since(reader.stamp)) is not None:
+                    reader.take(wire.SourceNews.FromString(news.SerializeToString()))
+                for one in ledgers:
+                    self.assertEqual(written[one.stamp], one.values())
+
+    def test_nobody_goes_back_to_an_older_stamp(self):
+        newer, older = Ledger("comb"), Ledger("comb")
+        newer.publish((2, 1), {"a": b"2"})
+        older.publish((1, 9), {"a": b"1"})
+        self.assertFalse(newer.take(older.since((0, 0))))
+        self.assertEqual({"a": b"2"}, newer.values())
+
+
+def heard(seq: int, in_force: bool, primary: str = "a") -> wire.BeatHeard:
+    vector = [wire.SourceAt(source="comb", stamp=message_of((1, seq)))]
+    return wire.BeatHeard(vector=vector, members=["a", "b", "c"], primary=primary, in_force=in_force)
+
+
+class Following(TestCase):
+    def follower(self) -> tuple[Follower, Ledger]:
+        comb = Ledger("comb")
+        return Follower(["a", "b"], {"comb": comb}), comb
+
+    def test_it_is_fresh_only_while_a_machine_with_a_majority_behind_it_shows_nothing_newer(self):
+        #  us      a (in force)   b (cut off, older)   the ingress
+        #  0       1.5 ----------------------------->  pulls from a, takes 1.5: fresh
+        #  0.5 s                  1.3 -------------->  fresh still: b has no majority
+        #  1 s     1.6 ----------------------------->  not fresh until it has pulled
+        #  after   (silent)                            not fresh
+        follower, comb = self.follower()
+        self.assertEqual([SendBeat("a"), SendBeat("b")], follower.tick(0))
+        self.assertFalse(follower.fresh(0))
+        (pull,) = follower.heard_beat(10, "a", 0, heard(5, True))
+        self.assertIsInstance(pull, SendPull)
+        self.assertEqual([], follower.heard_beat(11, "b", 0, heard(5, True)))  # one pull at a time
+        author = Ledger("comb")
+        author.publish((1, 5), {"version": b"1"})
+        changed, _ = follower.heard_news(pull.number, wire.News(sources=[author.since((0, 0))]))
+        self.assertEqual({"comb"}, changed)
+        self.assertTrue(follower.fresh(20))
+        follower.heard_beat(S // 2, "b", S // 2, heard(3, False))
+        self.assertTrue(follower.fresh(S // 2))
+        self.assertEqual(1, len(follower.heard_beat(S, "a", S, heard(6, True))))
+        self.assertFalse(follower.fresh(S))
+        author.publish((1, 6), {"version": b"2"})
+        comb.take(author.since((1, 5)))
+        self.assertTrue(follower.fresh(S + FRESH_US))
+        self.assertFalse(follower.fresh(S + FRESH_US + 1))
+
+    def test_beats_go_to_seeds_and_members_and_never_two_at_a_time_to_one(self):
+        follower, _ = self.follower()
+        follower.tick(0)
+        follower.heard_beat(10, "a", 0, heard(0, True))
+        self.assertEqual([SendBeat("c")], follower.tick(20))  # a member that no seed named
+        self.assertEqual([SendBeat("a")], follower.tick(BEAT_US))  # b has not answered yet
+        follower.heard_beat(BEAT_US, "b", 0, None)
+        self.assertEqual([SendBeat("b")], follower.tick(BEAT_US))
+
+
+def listed(instance: str, **over: object) -> Listed:
+    fields = {"service": "s", "address": "10.0.0.1:80", "zone": "n-a", "version": "v1", "capacity": 3}
+    return Listed(instance, **(fields | {"draining": False, "cold_left_ms": 0} | over))
+
+
+class Scouts(TestCase):
+    zones = {"n-a": "n", "g-a": "g"}
+
+    def test_one_keeper_each_of_its_region_who_stays_until_it_is_gone(self):
+        reader = Reader(self.zones, {})
+        nodes = [("e1", "n"), ("e2", "n"), ("e3", "g")]
+        entries = [listed(f"i-{n}", cold_left_ms=900) for n in range(40)]
+        first = {k: read_row(k, v, 0).unwrap().keeper for k, v in reader.read(entries, nodes).items()}
+        self.assertEqual({"e1", "e2"}, set(first.values()))
+        again = reader.read(entries, [*nodes, ("e4", "n")])
+        self.assertEqual(first, {k: read_row(k, v, 0).unwrap().keeper for k, v in again.items()})
+        # Another reader goes on with the rows, and keepers named anew wait out the one before.
+        after = Reader(self.zones, again).read(entries, nodes[1:])
+        for instance, value in after.items():
+            server = read_row(instance, value, 5 * S).unwrap()
+            self.assertEqual("e2", server.keeper)
+            self.assertEqual(8 * S if first[instance] == "e1" else 5 * S, server.kept_from)
+
+    def test_what_two_whole_reads_lack_is_gone_and_a_coldness_that_runs_down_changes_no_row(self):
+        reader = Reader(self.zones, {})
+        rows = reader.read([listed("i-1", cold_left_ms=900), listed("i-2")], [])
+        self.assertEqual(rows, reader.read([listed("i-1", cold_left_ms=300)], []))
+        later = reader.read([listed("i-1")], [])
+        self.assertEqual(["i-1"], list(later))
+        self.assertEqual(0, read_row("i-1", later["i-1"], 0).unwrap().cold_until)
+
+    def test_a_page_with_anything_unreadable_is_not_used(self):
+        for raw in (
+            b"",
+            b"[]",
+            b'{"instances":{"columns":["instance_id"],"rows":[["i"]]}}',
+            b'{"instances":{"columns":[],"rows":[[1]]}}',
+        ):
+            self.assertTrue(read_page(raw).failure().text.startswith("instances: "))
+
+
+class Entrance(TestCase):
+    def test_the_directory_names_ready_ones_of_the_region_and_all_where_those_are_too_few(self):
+        presence = Presence()
+        places = {"e1": ("n", "n-a"), "e2": ("n", "n-b"), "e3": ("g", "g-a"), "e4": ("g", "g-b")}
+        for node, (region, zone) in places.items():
+            beat = wire.Beat(node=node, region=region, zone=zone, front=node, standing=wire.READY)
+            presence.heard(0, beat)
+        self.assertEqual(["e2", "e1"], presence.name(S, "n", "n-b"))
+        presence.heard(S, wire.Beat(node="e1", region="n", zone="n-a", front="e1", standing=wire.LEAVING))
+        self.assertEqual(["e2", "e3", "e4"], presence.name(S, "n", "n-b"))
+        self.assertEqual([], presence.name(SERVING_US + 1, "n", "n-b"))
+        self.assertEqual(4, len(presence.may_serve()))  # cut off from here they may still have clients
--- /dev/null
+++ b/vetchusher/entrance/presence.py
@@ -0,0 +1,80 @@
+"""Which ingresses serve, by the beats that this core machine hears, and whom the directory names."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from vetchusher.events import Event, Note
+from vetchusher.waggle import wire_pb2 as wire
+
+SERVING_US = 2_500_000  # since the last beat: five of them may be lost
+MAY_SERVE_US = 60_000_000  # since the last beat: cut off from here it may still serve clients
+MOST_INGRESSES = 2_048
+MOST_NAMED = 64  # addresses in one answer
+FEWEST_NAMED = 2  # with fewer in its region a client would have nowhere to go when one dies
+
+
+@dataclass(slots=True)
+class Ingress:
+    node: str
+    ip: str
+    zone: str
+    region: str
+    front: str
+    life: int
+    standing: wire.Standing
+    heard_at: int
+
+
+class Presence:
+    """Owner of what is known of the ingresses: an entry goes when it has been silent for MAY_SERVE_US."""
+
+    def __init__(self) -> None:
+        self.ingresses: dict[str, Ingress] = {}
+        self.lost: set[str] = set()  # of `ingresses`: told in the log as lost
+
+    def heard(self, now: int, beat: wire.Beat) -> list[Note]:
+        """Take in a beat; those of machines that take no clients tell nothing here."""
+        if not beat.front:
+            return []
+        known = self.ingresses.get(beat.node)
+        if known is None and len(self.ingresses) >= MOST_INGRESSES:
+            return []
+        fresh = known is None or known.life != beat.life or beat.node in self.lost
+        self.lost.discard(beat.node)
+        self.ingresses[beat.node] = Ingress(
+            beat.node, beat.ip, beat.zone, beat.region, beat.front, beat.life, beat.standing, now
+        )
+        return [Note(Event.INGRESS_SEEN, {"node": beat.node, "standing": beat.standing})] if fresh else []
+
+    def sweep(self, now: int) -> list[Note]:
+        notes = []
+        for node, one in list(self.ingresses.items()):
+            silent = now - one.heard_at
+            if silent > MAY_SERVE_US:
+                del self.ingresses[node]
+                self.lost.discard(node)
+            elif silent > SERVING_US and node not in self.lost:
+                self.lost.add(node)
+                notes.append(Note(Event.INGRESS_LOST, {"node": node}))
+        return notes
+
+    def may_serve(self) -> dict[str, int]:
+        """Ingresses that may have clients, those lately lost among them, with when each was last heard (us)."""
+        return {node: one.heard_at for node, one in self.ingresses.items()}
+
+    def serving(self, now: int) -> list[Ingress]:
+        """Those heard lately that are ready."""
+        return [
+            one
+            for one in self.ingresses.values()
+            if one.standing == wire.READY and now - one.heard_at <= SERVING_US
+        ]
+
+    def name(self, now: int, region: str, zone: str) -> list[str]:
+        """Fronts for a client of that place: its region's; with fewer than two there, all."""
+        serving = self.serving(now)
+        near = [one for one in serving if one.region == region]
+        chosen = near if len(near) >= FEWEST_NAMED else serving
+        chosen.sort(key=lambda one: (one.region != region, one.zone != zone, one.node))
+        return [one.front for one in chosen[:MOST_NAMED]]
--- /dev/null
+++ b/vetchusher/waggle/follower.py
@@ -0,0 +1,156 @@
+"""How a process keeps up: beats to the core machines, and pulls of what it lacks by a vector of versions.
+
+Pure: `tick` and the `heard_` functions return what is to be sent; whoever sends tells what became of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from vetchusher.events import Event, Note
+
+from . import wire_pb2 as wire
+from .ledger import NEVER, Ledger, Stamped, stamp_of, vector_of
+
+BEAT_US = 500_000
+PULL_PATIENCE_US = 1_500_000  # a pull that is not answered by then is made elsewhere
+FRESH_US = 1_500_000  # since the sending of a beat that a machine with a majority behind it answered
+CONTACT_US = 5_000_000  # what a core machine that has not answered for so long once said counts no longer
+MOST_CONTACTS = 16
+
+
+@dataclass(slots=True, frozen=True)
+class SendBeat:
+    to: str
+
+
+@dataclass(slots=True, frozen=True)
+class SendPull:
+    to: str
+    number: int
+    pull: wire.Pull
+
+
+Send = SendBeat | SendPull
+
+
+@dataclass(slots=True)
+class Contact:
+    """What one core machine last answered."""
+
+    beaten_at: int = -(1 << 60)  # us: the last beat sent
+    waiting: bool = False  # that beat has not been answered or given up
+    heard_at: int = -(1 << 60)  # us: when the beat that it last answered was sent
+    in_force_at: int = -(1 << 60)  # the same, of the last answer with a majority behind it
+    in_force: dict[str, Stamped] = field(default_factory=dict)  # what that answer held
+    members: tuple[str, ...] = ()
+    primary: str = ""
+    ingresses: int = 0
+
+
+class Follower:
+    """Owner of the contacts: seeds, and the members that the newest answer with a majority behind it names."""
+
+    def __init__(self, seeds: Iterable[str], sources: Mapping[str, Ledger], me: str = "") -> None:
+        """:param me: own ip where this is itself a core machine: it asks the others only"""
+        self.me = me
+        self.sources = dict(sources)
+        self.seeds: tuple[str, ...] = ()
+        self.members: tuple[str, ...] = ()
+        self.contacts: dict[str, Contact] = {}
+        self.pulling: tuple[int, str, int] | None = None  # number, from whom, since when (us)
+        self.pulls = 0
+        self.reseed(seeds)
+
+    def reseed(self, seeds: Iterable[str]) -> None:
+        self.seeds = tuple(seeds)
+        self._keep_contacts()
+
+    def _keep_contacts(self) -> None:
+        wanted = [ip for ip in dict.fromkeys((*self.members, *self.seeds)) if ip != self.me][:MOST_CONTACTS]
+        self.contacts = {ip: self.contacts.get(ip) or Contact() for ip in wanted}
+
+    def tick(self, now: int) -> list[Send]:
+        """Beats that are due; call it at least every 100 ms."""
+        sends: list[Send] = []
+        for ip, contact in self.contacts.items():
+            if not contact.waiting and now - contact.beaten_at >= BEAT_US:
+                contact.beaten_at, contact.waiting = now, True
+                sends.append(SendBeat(ip))
+        if self.pulling is not None and now - self.pulling[2] > PULL_PATIENCE_US:
+            self.pulling = None
+        return sends
+
+    def beat_now(self, now: int) -> list[Send]:
+        """A beat to all, at once: this process's standing has changed."""
+        for contact in self.contacts.values():
+            contact.beaten_at, contact.waiting = now, True
+        return [SendBeat(ip) for ip in self.contacts]
+
+    def heard_beat(self, now: int, ip: str, sent_at: int, answer: wire.BeatHeard | None) -> list[Send]:
+        """The answer to a beat sent at `sent_at`, or that there was none; a vector told unasked as well."""
+        contact = self.contacts.get(ip)
+        if contact is None:
+            return []
+        contact.waiting = False
+        if answer is None:
+            return []
+        contact.heard_at = max(contact.heard_at, sent_at)
+        vector = {at.source: stamp_of(at.stamp) for at in answer.vector}
+        if answer.in_force:
+            contact.in_force_at, contact.in_force = max(contact.in_force_at, sent_at), vector
+            contact.primary, contact.ingresses = answer.primary, answer.ingresses
+            members = tuple(answer.members)
+            if members and members != self.members and sent_at >= self._newest_in_force():
+                self.members = members
+                self._keep_contacts()
+        return self._pull(now, ip, vector)
+
+    def _newest_in_force(self) -> int:
+        return max((c.in_force_at for c in self.contacts.values()), default=-(1 << 60))
+
+    def _pull(self, now: int, ip: str, vector: Mapping[str, Stamped]) -> list[Send]:
+        if self.pulling is not None:
+            return []
+        if not any(vector.get(name, NEVER) > ledger.stamp for name, ledger in self.sources.items()):
+            return []
+        self.pulls += 1
+        self.pulling = (self.pulls, ip, now)
+        return [SendPull(ip, self.pulls, wire.Pull(vector=vector_of(self.sources)))]
+
+    def heard_news(self, number: int, news: wire.News | None) -> tuple[set[str], list[Note]]:
+        """What came of a pull: the sources that changed here."""
+        if self.pulling is not None and self.pulling[0] == number:
+            self.pulling = None
+        changed: set[str] = set()
+        notes = []
+        for told in news.sources if news is not None else ():
+            ledger = self.sources.get(told.source)
+            if ledger is not None and ledger.take(told):
+                changed.add(told.source)
+                facts: dict[str, object] = {"source": told.source, "epoch": told.stamp.epoch}
+                facts |= {"seq": told.stamp.seq, "rows": len(told.rows), "bytes": told.ByteSize()}
+                notes.append(Note(Event.NEWS_TAKEN, facts | {"whole": told.whole}))
+        return changed, notes
+
+    def fresh(self, now: int) -> bool:
+        """Whether what is held of the control state is what is in force, as of FRESH_US ago at the latest."""
+        answers = [c for c in self.contacts.values() if now - c.in_force_at <= FRESH_US]
+        held = self.sources["comb"].stamp
+        return bool(answers) and all(c.in_force.get("comb", NEVER) <= held for c in answers)
+
+    def primary(self, now: int) -> str:
+        """Where totals are, as the newest answer says; empty where none is newer than CONTACT_US."""
+        known = [c for c in self.contacts.values() if now - c.in_force_at <= CONTACT_US and c.primary]
+        return max(known, key=lambda c: c.in_force_at).primary if known else ""
+
+    def ingresses(self, now: int) -> int:
+        """How many may be serving, by whichever core machine knows of most; 0: nobody has said."""
+        return max(
+            (c.ingresses for c in self.contacts.values() if now - c.in_force_at <= CONTACT_US), default=0
+        )
+
+    def alone_since(self) -> int:
+        """When the last beat was sent that anybody with a majority behind it has answered (us)."""
+        return self._newest_in_force()
