Control state: voter, primary, candidate, the forgetful, joining, and the store

One value with a stamp, no log: promises and copies are told from the disk only; every answer counts for 1.35 s from its question, and a machine that starts gives or asks nothing for 1.5 s, so what an emptied disk took part in is decided or given up before it asks what it forgot.

--- a/vetchusher/comb/__init__.py
+++ b/vetchusher/comb/__init__.py
@@ -1,1 +1,47 @@
-"""The control state: epochs, primary, copies, witnesses, and the store on disk."""
+"""The control state: epochs, primary, copies, forgetful machines, and the store on disk.
+
+Owns: what the operator has ordered (configuration, evacuations) and who the members are; every core machine
+runs one `Member` (pure) and one `Store` (in a thread of its own).
+"""
+
+from .acts import (
+    Committed,
+    Done,
+    Heard,
+    Input,
+    Kept,
+    Order,
+    Output,
+    Replace,
+    Retrieve,
+    Save,
+    Saved,
+    SetEvacuation,
+    Submitted,
+    Tell,
+    Tick,
+    Timing,
+)
+from .member import Member
+from .store import Store
+
+__all__ = [
+    "Committed",
+    "Done",
+    "Heard",
+    "Input",
+    "Kept",
+    "Member",
+    "Order",
+    "Output",
+    "Replace",
+    "Retrieve",
+    "Save",
+    "Saved",
+    "SetEvacuation",
+    "Store",
+    "Submitted",
+    "Tell",
+    "Tick",
+    "Timing",
+]
--- /dev/null
+++ b/vetchusher/comb/acts.py
@@ -0,0 +1,151 @@
+"""What the control state's machine takes, what it returns, and what a disk holds of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from returns.result import Result
+
+from vetchusher.events import Note
+from vetchusher.kinds import Fault
+from vetchusher.waggle.wire_pb2 import CombLetter, CombState
+
+
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """All in us of the machine's own steady clock.
+
+    :param lease_us: for how long a voter that agreed to a renewal promises no other epoch
+    :param held_us: for how long a primary or a candidate counts any answer, from the sending of the question.
+        The rest of the lease is what two steady clocks may drift apart in that time
+    :param other_zone_us: how long a write waits for a copy in another zone
+    :param heard_us: who was heard within it is up
+    :param regain_us: how long a primary whose lease ran out goes on asking before it gives up its epoch
+    :param courtesy_us: after a promise, no other candidate is encouraged for so long
+    :param anew_us: when nobody remembers anything at all: how long to look for somebody before beginning anew
+    :param drop_us: a member unheard for so long is left out where that lets the others bear one loss more
+    """
+
+    renew_us: int = 250_000
+    lease_us: int = 1_500_000
+    held_us: int = 1_350_000
+    other_zone_us: int = 2_000_000
+    heard_us: int = 1_000_000
+    regain_us: int = 300_000
+    courtesy_us: int = 400_000
+    pause_us: int = 200_000
+    probe_us: int = 300_000
+    ask_us: int = 1_000_000
+    order_us: int = 3_000_000
+    resend_us: int = 500_000
+    resend_most_us: int = 4_000_000
+    retry_us: int = 500_000
+    recall_us: int = 300_000
+    anew_us: int = 10_000_000
+    join_us: int = 500_000
+    learner_us: int = 5_000_000
+    drop_us: int = 15_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class Kept:
+    """What a disk holds.
+
+    :param promised: the highest epoch that this machine promised
+    :param state: its copy; the members that it knows are named in it
+    """
+
+    promised: int
+    state: CombState
+
+
+# -- inputs ----------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Time has passed: about every 50 ms."""
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    sender: str  # ip
+    zone: str
+    letter: CombLetter
+
+
+@dataclass(slots=True, frozen=True)
+class Saved:
+    """The outcome of a `Save`; `ok`: it is synced."""
+
+    token: int
+    ok: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Replace:
+    """:param body: a configuration that was checked whole, as the operator sent it"""
+
+    version: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Retrieve:
+    pass
+
+
+@dataclass(slots=True, frozen=True)
+class SetEvacuation:
+    zone: str
+    on: bool
+
+
+Order = Replace | Retrieve | SetEvacuation
+
+
+@dataclass(slots=True, frozen=True)
+class Submitted:
+    """:param number: the caller's; it comes back in `Done`"""
+
+    number: int
+    order: Order
+
+
+Input = Tick | Heard | Saved | Submitted
+
+
+# -- outputs ---------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Tell:
+    to: str  # ip
+    letter: CombLetter
+
+
+@dataclass(slots=True, frozen=True)
+class Save:
+    """To be synced, in order, and answered by `Saved`.  There is never more than one unanswered."""
+
+    token: int
+    kept: Kept
+
+
+@dataclass(slots=True, frozen=True)
+class Done:
+    """:param outcome: for `Retrieve` the configuration's bytes as sent; else nothing.  NOT_SETTLED: it may
+    come to be in force or not"""
+
+    number: int
+    outcome: Result[bytes, Fault]
+
+
+@dataclass(slots=True, frozen=True)
+class Committed:
+    """`Member.committed` has grown to this."""
+
+    state: CombState
+
+
+Output = Tell | Save | Done | Committed | Note
--- /dev/null
+++ b/vetchusher/comb/state.py
@@ -0,0 +1,117 @@
+"""The control state as a value: stamps compared, orders applied, majorities counted.
+
+A `CombState` is never changed once it has been handed on: each change makes a new one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from more_itertools import first
+from returns.result import Failure, Result, Success
+
+from vetchusher.kinds import Fault, Kind
+from vetchusher.waggle.wire_pb2 import CombState, Evacuation, Stamp
+
+from .acts import Order, Replace, SetEvacuation
+
+MOST_ZONES = 256  # that evacuations may name
+
+Point = tuple[int, int]  # a stamp: epoch, seq
+START: Point = (0, 0)
+
+
+def point(stamp: Stamp) -> Point:
+    return stamp.epoch, stamp.seq
+
+
+def stamp(at: Point) -> Stamp:
+    return Stamp(epoch=at[0], seq=at[1])
+
+
+def at(state: CombState) -> Point:
+    return point(state.stamp)
+
+
+def majority(count: int) -> int:
+    return count // 2 + 1
+
+
+def enough(members: Sequence[str], some: Iterable[str]) -> bool:
+    """Whether those of `some` that are members are a majority of them."""
+    return len(set(members).intersection(some)) >= majority(len(members))
+
+
+def first_state(members: Iterable[str]) -> CombState:
+    return CombState(stamp=stamp(START), members=sorted(set(members)))
+
+
+def newest(states: Iterable[CombState]) -> CombState:
+    return max(states, key=at)
+
+
+def changed(
+    state: CombState, stamped: Point | None = None, members: Sequence[str] | None = None
+) -> CombState:
+    """A copy with another stamp, or other members."""
+    made = CombState()
+    made.CopyFrom(state)
+    if stamped is not None:
+        made.stamp.CopyFrom(stamp(stamped))
+    if members is not None:
+        made.members[:] = sorted(members)
+    return made
+
+
+def ordered(state: CombState, order: Order) -> Result[CombState, Fault]:
+    """The state after one order; the very same object where the order changes nothing."""
+    if isinstance(order, Replace):
+        return Success(state if order.version <= state.version else replaced(state, order))
+    if isinstance(order, SetEvacuation):
+        return evacuated(state, order)
+    return Success(state)
+
+
+def replaced(state: CombState, order: Replace) -> CombState:
+    made = changed(state)
+    made.version, made.configuration = order.version, order.body
+    return made
+
+
+def evacuated(state: CombState, order: SetEvacuation) -> Result[CombState, Fault]:
+    held = first((e for e in state.evacuations if e.zone == order.zone), None)
+    if order.on == (held is not None and held.on):
+        return Success(state)
+    if held is None and len(state.evacuations) >= MOST_ZONES:
+        return Failure(Fault(Kind.INVALID, f"evacuation of {order.zone[:40]}: too many zones are named"))
+    number = 1 + max((e.order for e in state.evacuations), default=0)
+    made = changed(state)
+    del made.evacuations[:]
+    made.evacuations.extend(e for e in state.evacuations if e.zone != order.zone)
+    # An evacuation that was taken back stays: its end tells since when the zone's servers may be cold.
+    made.evacuations.append(Evacuation(zone=order.zone, on=order.on, order=number))
+    return Success(made)
+
+
+def without_configuration(state: CombState) -> CombState:
+    made = CombState(
+        stamp=state.stamp,
+        version=state.version,
+        evacuations=state.evacuations,
+        members=state.members,
+        configuration_left_out=True,
+    )
+    return made
+
+
+def with_configuration(written: CombState, held: CombState) -> CombState | None:
+    """A state whose configuration was left out, filled from the copy held here; None: it is not held.
+
+    Danger: a version may have been written by another epoch with another body and never committed.  Within
+    one epoch a version has one body, so only a copy of the same epoch will do.
+    """
+    if held.version != written.version or held.stamp.epoch != written.stamp.epoch:
+        return None
+    made = changed(written)
+    made.configuration, made.configuration_left_out = held.configuration, False
+    return made
