--- /dev/null
+++ b/vetchusher/limits/tally.py
@@ -0,0 +1,211 @@
+"""An ingress's side of the quotas inside the system: judged at once, told to the holder by a timer.
+
+Kin: Kong's two-window counts with batched totals; escrow (O'Neil 1986) for what may pass between two totals.
+The holder's word on a tenant is a ceiling on the running count here; the ceilings of all ingresses together
+never exceed what the quota has room for, so no two can pass the same room.  Without a fresh word an ingress
+has a part: 1/N of the rate, and what is kept back for those without a word.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from vetchusher.settings.configuration import Tenant
+from vetchusher.waggle.wire_pb2 import Passed, Push, Total, Totals
+
+from .windows import Bounds, Counts, Shape, estimate, idle_part, shape_of
+
+STALE_US = 600_000  # us from sending a push that its answer's word holds
+UNANSWERED_US = 400_000  # us without an answer after which the next may come from a new holder
+BEAT_US = 400_000  # us between two pushes at most: the holder keeps back parts for the silent
+ALONE_US = 58_000_000  # us without an answer after which the core may count this ingress as gone
+AGAIN_US = 300_000  # us after which a count is told again that no answer has confirmed
+MOST_SENT = 16  # pushes without an answer that are remembered
+COME_BACK_US = 5_000_000  # us: a refused request is never told to wait longer
+NEVER = -(1 << 62)
+
+
+@dataclass(slots=True)
+class Own:
+    """What this ingress knows of one tenant.
+
+    :param count: passed, told as a running count; begins at what all tenants had passed, so it never falls
+    :param ceiling: count up to which may be passed
+    :param until: us until which the holder's word holds
+    :param part_at: us up to which the part has grown
+    :param named: number of the newest answer that named the tenant
+    :param pushed: the count in the newest push; at `pushed_at`
+    :param acked: the count in the newest push that was answered
+    :param known_to: life of the holder that answered
+    """
+
+    shape: Shape
+    count: int
+    ceiling: float
+    part_at: int
+    until: int = NEVER
+    named: int = 0
+    pushed: int = 0
+    pushed_at: int = NEVER
+    acked: int = 0
+    known_to: int = 0
+    wanted: bool = False
+    opens_at: int = NEVER
+    windows: Counts = field(default_factory=Counts)
+
+
+@dataclass(slots=True)
+class Sent:
+    """A push under way.
+
+    :param told: by tenant the count in it, and whether a holder without memory could use it
+    """
+
+    at: int
+    told: dict[str, tuple[int, bool]]
+
+
+class Tally:
+    """Owner of one `Own` for each tenant with a quota in the configuration; gone from there, gone here."""
+
+    def __init__(self, node: str, life: int, sync_us: int = 150_000, bounds: Bounds | None = None) -> None:
+        self.node = node
+        self.life = life
+        self.sync_us = sync_us
+        self.bounds = bounds or Bounds()
+        self.own: dict[str, Own] = {}
+        self.serial = 0  # passed, over all tenants
+        self.ingresses = 0  # that may be serving; 0: not known
+        self.holder = 0  # life of the duty whose totals were heard
+        self.number = 0
+        self.sent: dict[int, Sent] = {}
+        self.sent_at = NEVER
+        self.heard_number = 0
+        self.answered_at = NEVER  # us: when the newest answered push was sent
+        self.whole_at = NEVER  # the same, of those whose answer was whole
+
+    def configure(self, now: int, tenants: Mapping[str, Tenant]) -> None:
+        """A lower limit holds at once: what is left of the part shrinks with it."""
+        old, self.own = self.own, {}
+        for name, tenant in tenants.items():
+            shape = shape_of(tenant.rate_per_s, tenant.burst_size, self.bounds)
+            if shape is None:
+                continue
+            own = old.get(name)
+            if own is None:
+                # Danger: a tenant that comes back must not count from below what the holder has heard.
+                own = Own(shape, self.serial, self.serial, now, pushed=self.serial, acked=self.serial)
+            elif own.shape != shape:
+                left = max(0.0, own.ceiling - own.count)
+                own.ceiling = own.count + left * min(1.0, shape.depth / own.shape.depth)
+                own.shape = shape
+            self.own[name] = own
+
+    def fleet(self, ingresses: int) -> None:
+        self.ingresses = ingresses
+
+    def admit(self, now: int, tenant: str) -> bool:
+        own = self.own.get(tenant)
+        if own is None:
+            return True
+        self.settle(now, own)
+        if own.ceiling - own.count < 1.0 or now - self.answered_at > ALONE_US:
+            own.wanted = True
+            return False
+        own.count += 1
+        self.serial += 1
+        own.windows.add(now, own.shape.length_us, 1)
+        return True
+
+    def settle(self, now: int, own: Own) -> None:
+        """Bring the ceiling up to date where no word of the holder holds."""
+        if now < own.until:
+            return
+        part = idle_part(own.shape, self.ingresses)
+        if now - self.whole_at < STALE_US and own.named != self.heard_number and own.acked == own.count:
+            # In touch, all told, and the tenant is not short: what is kept back, a whole request at least.
+            own.ceiling, own.part_at = own.count + max(1.0, part), now
+            return
+        # Danger: cut off from the totals, all ingresses together must stay within the quota.
+        begins = max(own.part_at, own.until)
+        grown = own.shape.gained(now - begins) / self.ingresses if self.ingresses else 0.0
+        left = min(own.ceiling - own.count, part) if own.until > own.part_at else own.ceiling - own.count
+        own.ceiling = own.count + max(left, min(part, left + grown))
+        own.part_at = now
+
+    def push(self, now: int) -> Push | None:
+        """What the timer sends; None: nothing to say, and nothing to learn."""
+        if not self.own:
+            return None
+        late = now - self.answered_at > UNANSWERED_US
+        passed = []
+        told: dict[str, tuple[int, bool]] = {}
+        for name, own in self.own.items():
+            own.windows.roll(now, own.shape.length_us)
+            recent, before = own.windows.current, own.windows.previous
+            opening = late or own.known_to != self.holder
+            again = own.count != own.acked and now - own.pushed_at > AGAIN_US
+            if not (own.count != own.pushed or own.wanted or again or (opening and recent + before)):
+                continue
+            own.pushed, own.pushed_at, own.wanted = own.count, now, False
+            told[name] = own.count, opening
+            told_windows = {"recent": recent, "before": before} if opening else {}
+            passed.append(Passed(tenant=name, count=own.count, **told_windows))
+        if not passed and now - self.sent_at < BEAT_US:
+            return None
+        self.number += 1
+        self.sent_at = now
+        self.sent[self.number] = Sent(now, told)
+        if len(self.sent) > MOST_SENT:
+            del self.sent[next(iter(self.sent))]
+        return Push(node=self.node, life=self.life, number=self.number, passed=passed, holder=self.holder)
+
+    def heard(self, now: int, totals: Totals) -> None:
+        sent = self.sent.pop(totals.number, None)
+        if sent is None or totals.life < self.holder or totals.number < self.heard_number:
+            return
+        for number in [n for n in self.sent if n < totals.number]:
+            del self.sent[number]
+        news = totals.life != self.holder
+        self.holder, self.heard_number, self.answered_at = totals.life, totals.number, sent.at
+        self.ingresses = totals.ingresses or self.ingresses
+        for name, (count, opening) in sent.told.items():
+            own = self.own.get(name)
+            if own is not None and (opening or own.known_to == totals.life):
+                own.acked, own.known_to = max(own.acked, count), totals.life
+        if not totals.whole:
+            if news:
+                self.back_to_parts(now)
+            return
+        self.whole_at = sent.at
+        for total in totals.totals:
+            own = self.own.get(total.tenant)
+            if own is not None:
+                self.take(now, own, total, sent.at)
+
+    def back_to_parts(self, now: int) -> None:
+        """Danger: a holder that is new does not know what the one before it gave out."""
+        self.whole_at = NEVER
+        for own in self.own.values():
+            if own.until > now:
+                own.until = now
+            self.settle(now, own)
+
+    def take(self, now: int, own: Own, total: Total, sent_at: int) -> None:
+        own.ceiling, own.until, own.part_at = float(total.ceiling), sent_at + STALE_US, sent_at
+        own.named = self.heard_number
+        if total.length_us:
+            used = estimate(total.current, total.previous, total.into_us, total.length_us)
+            wait = max(0.0, (used + 1.0 - own.shape.depth) / own.shape.rate)
+            own.opens_at = now + int(wait * 1e6)
+
+    def room_at(self, now: int, tenant: str) -> int:
+        """us after which a refused request may try again."""
+        own = self.own.get(tenant)
+        if own is None:
+            return 0
+        wait = own.opens_at - now
+        if now >= own.until and now - self.whole_at >= STALE_US and self.ingresses:
+            wait = int((1.0 - own.ceiling + own.count) * self.ingresses / own.shape.rate * 1e6)
+        return min(COME_BACK_US, max(self.sync_us, wait))
--- /dev/null
+++ b/vetchusher/limits/totals.py
@@ -0,0 +1,307 @@
+"""The holder's side of the quotas inside the system: what all ingresses passed, and what each may pass next.
+
+Held by the primary of the control state under its lease, made anew with each epoch, never on disk.  For each
+tenant a store of unused quota (it refills by the rate up to the depth, and all that passed is taken off):
+what it holds, and what may be given out ahead, is divided among the ingresses as ceilings on their running
+counts.  A ceiling is never lowered while it holds, so at each moment
+
+    passed everywhere <= passed as heard + what ceilings and parts still allow <= rate x time + depth + ahead
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from vetchusher.settings.configuration import Tenant
+from vetchusher.waggle.wire_pb2 import Passed, Push, Total, Totals
+
+from .tally import NEVER, STALE_US
+from .windows import PART_KEPT, Bounds, Counts, Shape, idle_part, shape_of
+
+SILENT_US = 500_000  # us after which a part is kept back for an ingress that says nothing
+WHOLE_US = 1_000_000  # us after its start when a holder goes on without those that said nothing
+GONE_US = 60_000_000  # us of silence after which an ingress passes nothing by itself
+LOOK_US = 50_000  # us between two looks at who is silent
+SHARE_US = 1_000_000  # us in which the weight of what an ingress passed falls to a third
+EVEN_PART = 0.2  # of what is divided: evenly among those that ask, as traffic moves
+WANT = 0.5  # requests that a refused one counts for, in the shares
+MOST_LIVES = 4  # of one ingress that are remembered
+
+
+@dataclass(slots=True)
+class Given:
+    """What one life of an ingress was last heard to have passed for one tenant, and what it may.
+
+    :param used: requests lately, each counting less with time
+    """
+
+    count: int
+    ceiling: int
+    known: bool = True  # false: nothing was ever heard of it
+    until: int = NEVER  # us until which the ceiling holds
+    used: float = 0.0
+    used_at: int = 0
+
+    def left(self) -> int:
+        return max(0, self.ceiling - self.count)
+
+
+@dataclass(slots=True)
+class Source:
+    """One life of an ingress."""
+
+    node: str
+    life: int
+    heard_at: int
+    told: bool = False  # it knows this holder: its first counts are all here
+    kept: float = 0.0  # us of silence for which its part of the rates was kept back
+    given: dict[str, Given] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Pool:
+    """One tenant's quota.
+
+    :param level: of the store; below 0: passed ahead
+    :param out: what valid ceilings still allow, over `active` ingresses
+    :param tight: too little for parts without a word: all are told
+    """
+
+    shape: Shape
+    level: float
+    at: int
+    out: int = 0
+    active: int = 0
+    used: float = 0.0
+    used_at: int = 0
+    tight: bool = False
+    ends: deque[tuple[int, Source, Given]] = field(default_factory=deque)
+    windows: Counts = field(default_factory=Counts)
+
+
+def faded(used: float, since_us: int) -> float:
+    return used * math.exp(-since_us / SHARE_US)
+
+
+class Holder:
+    """Owner of a `Pool` for each tenant with a quota in the configuration, and of a `Source` for each life of
+    an ingress that may be serving: gone from there, gone from here.
+
+    :param life: grows with each holder: its epoch
+    """
+
+    def __init__(self, life: int, now: int, bounds: Bounds | None = None) -> None:
+        self.life = life
+        self.born = now
+        self.bounds = bounds or Bounds()
+        self.pools: dict[str, Pool] = {}
+        self.sources: dict[str, list[Source]] = {}  # by node, the newest life last
+        self.nodes: set[str] = set()
+        self.whole = False
+        self.silent = 0
+        self.looked_at = NEVER
+
+    def configure(self, now: int, tenants: Mapping[str, Tenant]) -> None:
+        old, self.pools = self.pools, {}
+        for name, tenant in tenants.items():
+            shape = shape_of(tenant.rate_per_s, tenant.burst_size, self.bounds)
+            if shape is None:
+                continue
+            pool = old.get(name)
+            if pool is None:
+                pool = Pool(shape, shape.depth, now)
+            else:
+                self.refill(now, pool)
+                pool.shape, pool.level = shape, min(pool.level, shape.depth)
+            self.pools[name] = pool
+        for source in self.each_source():
+            for name in [n for n in source.given if n not in self.pools]:
+                del source.given[name]
+
+    def each_source(self) -> Iterator[Source]:
+        return (source for lives in self.sources.values() for source in lives)
+
+    def fleet(self, now: int, nodes: Mapping[str, int]) -> None:
+        """:param nodes: ingresses that may be serving, by name, with us when each was last heard"""
+        for pool in self.pools.values():
+            self.refill(now, pool)
+        self.nodes = set(nodes)
+        for node in [n for n, lives in self.sources.items() if n not in self.nodes]:
+            if now - self.sources[node][-1].heard_at > GONE_US:
+                for source in self.sources.pop(node):
+                    self.forget(now, source)
+        self.look(now)
+
+    @property
+    def ingresses(self) -> int:
+        return max(1, len(self.nodes | self.sources.keys()))
+
+    # -- what is left -----------------------------------------------------------------
+
+    def look(self, now: int) -> None:
+        """Count the silent.  Danger: what they pass meanwhile is not heard; their parts are kept back."""
+        self.looked_at = now
+        heard = [lives[-1] for lives in self.sources.values()]
+        unheard = len(self.nodes - self.sources.keys())
+        self.silent = unheard + sum(now - source.heard_at > SILENT_US for source in heard)
+        if not self.whole and self.nodes:
+            told = not unheard and all(s.told for s in heard if s.node in self.nodes)
+            if told or now - self.born >= WHOLE_US:
+                self.whole = True
+                for pool in self.pools.values():
+                    # Danger: what the unheard passed before is not known either.
+                    self.refill(now, pool)
+                    pool.level -= pool.shape.depth * unheard / self.ingresses
+
+    def refill(self, now: int, pool: Pool) -> None:
+        """Bring a pool up to date: its store, and ceilings that have run out."""
+        speaking = 1.0 - self.silent / self.ingresses
+        pool.level = min(pool.shape.depth, pool.level + pool.shape.gained(now - pool.at) * speaking)
+        pool.at = now
+        while pool.ends and pool.ends[0][0] <= now:
+            until, source, given = pool.ends.popleft()
+            if given.until == until:
+                self.end(now, pool, source, given)
+
+    def end(self, now: int, pool: Pool, source: Source, given: Given) -> None:
+        pool.active -= 1
+        pool.out -= given.left()
+        given.until = NEVER
+        if now - source.heard_at > SILENT_US or source is not self.sources[source.node][-1]:
+            # Danger: whoever says nothing, or was killed, may have passed all that it had been given.
+            pool.level -= given.left()
+            given.count = max(given.count, given.ceiling)
+
+    def free(self, pool: Pool) -> float:
+        """What nobody has been given, nor is kept for those without a word."""
+        idle = max(0, self.ingresses - pool.active) * idle_part(pool.shape, self.ingresses)
+        return pool.level + pool.shape.ahead - pool.out - idle
+
+    # -- pushes -----------------------------------------------------------------------
+
+    def push(self, now: int, push: Push) -> Totals:
+        source = self.source_of(now, push)
+        source.told = source.told or push.holder == self.life
+        if now - self.looked_at >= LOOK_US or not self.whole:
+            self.look(now)
+        asked = []
+        for passed in push.passed:
+            pool = self.pools.get(passed.tenant)
+            if pool is not None:
+                self.refill(now, pool)
+                if self.count(now, pool, source, passed, push.holder == self.life):
+                    asked.append(passed.tenant)
+        source.kept = 0.0
+        answer = Totals(number=push.number, life=self.life, whole=self.whole, ingresses=self.ingresses)
+        answer.silent = self.silent
+        if self.whole and source is self.sources[source.node][-1]:
+            named = set(asked)
+            answer.totals.extend(self.word(now, name, source, True) for name in asked)
+            for name, pool in self.pools.items():
+                if name not in named and self.is_tight(now, pool):
+                    answer.totals.append(self.word(now, name, source, False))
+        return answer
+
+    def source_of(self, now: int, push: Push) -> Source:
+        lives = self.sources.setdefault(push.node, [])
+        source = next((s for s in lives if s.life == push.life), None)
+        if source is None:
+            source = Source(push.node, push.life, now)
+            lives.append(source)
+            if len(lives) > MOST_LIVES:
+                self.forget(now, lives.pop(0))
+        quiet = now - source.heard_at - SILENT_US
+        if quiet > 0:
+            source.kept += quiet
+        source.heard_at = now
+        return source
+
+    def forget(self, now: int, source: Source) -> None:
+        """A life whose record goes: what it may still pass is taken as passed."""
+        for name, given in source.given.items():
+            pool = self.pools.get(name)
+            if pool is not None and given.until > NEVER:
+                pool.active -= 1
+                pool.out -= given.left()
+                pool.level -= given.left()
+                given.until = NEVER
+
+    def count(self, now: int, pool: Pool, source: Source, passed: Passed, knows: bool) -> bool:
+        """Add what is new in a running count.
+
+        :return: false where it cannot be used: it counts from before this holder's time, not saying how much
+        """
+        given = source.given.get(passed.tenant)
+        told = passed.recent + passed.before
+        if given is None or not given.known:
+            if not told and not knows:
+                return False
+            new = told
+        else:
+            new = max(0, passed.count - given.count)
+            if told:
+                # Danger: a tenant that left the configuration and came back counts on from a higher place.
+                new = min(new, told)
+        if given is None:
+            given = source.given[passed.tenant] = Given(passed.count, 0, used_at=now)
+        else:
+            pool.out -= given.left() if given.until > NEVER else 0
+            given.count, given.known = max(given.count, passed.count), True
+            pool.out += given.left() if given.until > NEVER else 0
+        kept = pool.shape.gained(int(source.kept)) / self.ingresses
+        pool.level -= max(0.0, new - kept)
+        pool.windows.add(now, pool.shape.length_us, new)
+        gain = new or WANT
+        given.used = faded(given.used, now - given.used_at) + gain
+        pool.used = faded(pool.used, now - pool.used_at) + gain
+        given.used_at = pool.used_at = now
+        return True
+
+    def is_tight(self, now: int, pool: Pool) -> bool:
+        """Whether parts without a word cannot be borne."""
+        self.refill(now, pool)
+        left = pool.level + pool.shape.ahead
+        needed = PART_KEPT * (pool.shape.depth + pool.shape.ahead)
+        # Danger: those told to pass nothing have their parts again when it ends.
+        pool.tight = left - pool.out < needed if pool.tight else min(left - needed, self.free(pool)) < 0.0
+        return pool.tight
+
+    def word(self, now: int, name: str, source: Source, asked: bool) -> Total:
+        """What a source may pass of a tenant, as a ceiling on its running count."""
+        pool = self.pools[name]
+        tight = self.is_tight(now, pool)
+        given = source.given.get(name)
+        if given is None:
+            # A ceiling below any count.
+            given = source.given[name] = Given(0, 0, known=False, used_at=now)
+        may = self.share(pool, given, now) if asked else 0
+        held = given.until > NEVER
+        if held:
+            pool.out -= given.left()
+        else:
+            pool.active += 1
+            given.ceiling = given.count
+        given.ceiling = max(given.ceiling, given.count + may)
+        given.until = now + STALE_US
+        pool.out += given.left()
+        pool.ends.append((given.until, source, given))
+        total = Total(tenant=name, ceiling=given.ceiling)
+        if tight:
+            pool.windows.roll(now, pool.shape.length_us)
+            total.current, total.previous = pool.windows.current, pool.windows.previous
+            total.into_us, total.length_us = now % pool.shape.length_us, pool.shape.length_us
+        return total
+
+    def share(self, pool: Pool, given: Given, now: int) -> int:
+        part = idle_part(pool.shape, self.ingresses)
+        mine = given.left() if given.until > NEVER else part
+        free = self.free(pool) + mine
+        base = 0.0 if pool.tight else part
+        divided = pool.level + pool.shape.ahead - base * self.ingresses
+        own = faded(given.used, now - given.used_at) / max(1e-9, faded(pool.used, now - pool.used_at))
+        share = (1.0 - EVEN_PART) * min(1.0, own) + EVEN_PART / max(1, pool.active)
+        may = min(free, base + share * max(0.0, divided))
+        return int(may) if may >= 1.0 else int(free >= 1.0)
