--- a/vetchusher/fields.py
+++ b/vetchusher/fields.py
@@ -52,7 +52,7 @@
             if default is None:
                 raise self.fault(name, "is missing")
             return default
-        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        if type(value) is not int and not (type(value) is float and math.isfinite(value)):
             raise self.fault(name, f"{shown(value)} is no number")
         if value < least or (above and value == least) or value > most:
             bound = f"above {least:g}" if above else f"at least {least:g}"
