Give operators and those who ask where to go one door, by a table of calls

Each call is read into a type, settled by whoever is handed in and answered by its type; faults by the one table of kinds. Bodies, connections, reading, settling and answers that nobody reads are bounded.

--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,218 @@
+"""The doors for operators and for those who ask where to go: one handler, over loopback sockets."""
+
+import asyncio
+import json
+from unittest import mock
+
+import testtools
+from returns.result import Failure, Success
+from testtools.matchers import Equals
+
+from vetchusher.hive import orders
+from vetchusher.kinds import STATUS, Fault, Kind
+
+
+class Settler:
+    """Settles each call as told, and notes it."""
+
+    def __init__(self, outcome=None):
+        self.calls = []
+        self.outcome = outcome
+
+    async def __call__(self, call):
+        self.calls.append(call)
+        if asyncio.isfuture(self.outcome):
+            return await self.outcome
+        if self.outcome is not None:
+            return self.outcome
+        return Success(
+            {
+                orders.ReplaceConfiguration: lambda: orders.Replaced(),
+                orders.RetrieveConfiguration: lambda: orders.Retrieved(b'{"version": "r1"}'),
+                orders.InitiateEvacuation: lambda: orders.EvacuationSet(call.zone, True),
+                orders.TerminateEvacuation: lambda: orders.EvacuationSet(call.zone, False),
+                orders.AskResolution: lambda: orders.Resolved(("10.0.0.1:80",), 2.0),
+            }[type(call)]()
+        )
+
+
+async def read_answer(reader):
+    """Status, headers and body of the next answer."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {k.lower(): v for k, _, v in (line.partition(": ") for line in head[1:])}
+    return int(head[0].split()[1]), headers, await reader.readexactly(int(headers["content-length"]))
+
+
+def message(line, body=b"", *headers):
+    lines = [f"{line} HTTP/1.1", "Host: x", *headers]
+    if body or line.startswith("POST"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class DoorsTest(testtools.TestCase):
+    def talk(self, settler, script, kind=orders.ControlDoor, **bounds):
+        """Run the script with a door open: it gets a way to connect, and the door."""
+
+        async def run():
+            door = kind(settler, ("127.0.0.1", 0), **bounds)
+            door.open()
+            writers = []
+
+            async def connect():
+                reader, writer = await asyncio.open_connection(*door.address)
+                writers.append(writer)
+                return reader, writer
+
+            try:
+                return await script(connect, door)
+            finally:
+                for writer in writers:
+                    writer.close()
+                await door.close()
+
+        return asyncio.run(asyncio.wait_for(run(), 30))
+
+    def ask(self, settler, *messages, **options):
+        """The answers to messages, all on one connection until one of them closes it."""
+
+        async def script(connect, door):
+            answers, headers = [], {"connection": "close"}
+            for raw in messages:
+                if headers.get("connection") == "close":
+                    reader, writer = await connect()
+                writer.write(raw)
+                answers.append(await read_answer(reader))
+                headers = answers[-1][1]
+            return answers
+
+        return self.talk(settler, script, **options)
+
+    def test_each_call_is_read_settled_and_answered_by_its_type(self):
+        settler = Settler()
+        answers = self.ask(
+            settler,
+            message("POST /configuration/replace", b'{"version"'),
+            message("GET /configuration/retrieve?x=1"),
+            message("POST /evacuation/north-1/initiate"),
+            message("POST /evacuation/n%C3%B6rd/terminate", b"not looked at"),
+        )
+        self.assertThat([status for status, _, _ in answers], Equals([200] * 4))
+        self.assertThat({headers["content-type"] for _, headers, _ in answers}, Equals({"application/json"}))
+        self.assertThat(answers[1][2], Equals(b'{"version": "r1"}'))
+        self.assertThat(json.loads(answers[3][2]), Equals({"zone": "nörd", "on": False}))
+        said = [
+            orders.ReplaceConfiguration(b'{"version"'),
+            orders.RetrieveConfiguration(),
+            orders.InitiateEvacuation("north-1"),
+            orders.TerminateEvacuation("nörd"),
+        ]
+        self.assertThat(settler.calls, Equals(said))
+
+    def test_the_directory_is_asked_by_name_and_place(self):
+        settler = Settler()
+        raws = (
+            message("GET /resolution?name=a.example&region=n&zone=n-1"),
+            message("GET /resolution?zone=%zz"),
+        )
+        (_, _, body), (status, _, _) = self.ask(settler, *raws, kind=orders.DirectoryDoor)
+        self.assertThat(json.loads(body), Equals({"addresses": ["10.0.0.1:80"], "ttl_s": 2.0}))
+        self.assertThat(
+            (status, settler.calls[0]), Equals((200, orders.AskResolution("a.example", "n", "n-1")))
+        )
+
+    def test_faults_are_answered_by_their_kind(self):
+        for fault in (
+            Fault(Kind.INVALID, "configuration.version: no"),
+            Fault(Kind.NOT_FOUND, "none yet"),
+            Fault(Kind.NOT_SETTLED, "no primary", 250_000),
+        ):
+            ((status, headers, body),) = self.ask(
+                Settler(Failure(fault)), message("GET /configuration/retrieve")
+            )
+            self.assertThat(status, Equals(STATUS[fault.kind]))
+            self.assertThat(json.loads(body), Equals({"error": fault.kind, "text": fault.text}))
+            self.assertThat(headers.get("retry-after"), Equals("0.250" if fault.retry_after_us else None))
+
+    def test_what_is_no_call_never_reaches_whoever_settles(self):
+        settler = Settler()
+        chunked = "Transfer-Encoding: chunked"
+        cases = (
+            (404, message("GET /configuration")),
+            (404, message("GET /configuration/retrieve/")),
+            (404, message("POST /evacuation/a/b/initiate")),
+            (404, message("GET /resolution?name=x")),
+            (405, message("GET /configuration/replace")),
+            (405, message("DELETE /configuration/retrieve")),
+            (400, message("POST /evacuation/%0A/initiate")),
+            (413, message("POST /configuration/replace", b"x" * 101)),
+            (
+                413,
+                message("GET /configuration/replace", b"", chunked).replace(b"GET", b"POST")
+                + b"65\r\n"
+                + b"x" * 101,
+            ),
+            (400, message("GET /configuration/replace", b"", chunked).replace(b"GET", b"POST") + b"no\r\n"),
+            (400, b"no http\r\n\r\n"),
+        )
+        answers = self.ask(settler, *(raw for _, raw in cases), most_body=100)
+        self.assertThat([status for status, _, _ in answers], Equals([status for status, _ in cases]))
+        self.assertThat((settler.calls, answers[4][1]["allow"]), Equals(([], "POST")))
+
+    def test_bodies_together_are_bounded_and_each_is_given_back(self):
+        async def script(connect, door):
+            settler = door.settle
+            settler.outcome = asyncio.get_running_loop().create_future()
+            first, writer = await connect()
+            writer.write(message("POST /configuration/replace", b"x" * 80))
+            while not settler.calls:
+                await asyncio.sleep(0.001)
+            second, writer = await connect()
+            writer.write(message("POST /configuration/replace", b"x" * 30))
+            refused = await read_answer(second)
+            held = door.held
+            settler.outcome.set_result(Success(orders.Replaced()))
+            return refused[0], held, (await read_answer(first))[0], door.held
+
+        self.assertThat(self.talk(Settler(), script, most_body=100), Equals((503, 80, 200, 0)))
+
+    def test_who_sends_slowly_or_is_never_settled_does_not_stay(self):
+        async def script(connect, door):
+            slow, writer = await connect()
+            writer.write(message("POST /configuration/replace", b"xx")[:-1])
+            status = (await read_answer(slow))[0]
+            door.settle.outcome = asyncio.get_running_loop().create_future()
+            unsettled, writer = await connect()
+            writer.write(message("GET /configuration/retrieve"))
+            return status, (await read_answer(unsettled))[0], door.held
+
+        with mock.patch.object(orders, "READ_S", 0.05), mock.patch.object(orders, "SETTLE_S", 0.05):
+            self.assertThat(self.talk(Settler(), script), Equals((408, 503, 0)))
+
+    def test_who_reads_no_answer_is_cut(self):
+        async def script(connect, door):
+            _, writer = await connect()
+            writer.write(message("GET /configuration/retrieve"))
+            while not door.settle.calls or door.door.links:
+                await asyncio.sleep(0.005)
+            return True
+
+        long = Success(orders.Retrieved(b"x" * (32 << 20)))
+        with mock.patch.object(orders, "READ_S", 0.05):
+            self.assertTrue(self.talk(Settler(long), script))
+
+    def test_a_call_under_way_is_answered_while_the_door_closes(self):
+        async def script(connect, door):
+            door.settle.outcome = asyncio.get_running_loop().create_future()
+            reader, writer = await connect()
+            writer.write(message("POST /evacuation/a/initiate"))
+            while not door.settle.calls:
+                await asyncio.sleep(0.001)
+            closing = asyncio.ensure_future(door.close())
+            await asyncio.sleep(0)
+            door.settle.outcome.set_result(Success(orders.EvacuationSet("a", True)))
+            status, headers, _ = await read_answer(reader)
+            await closing
+            return status, headers["connection"]
+
+        self.assertThat(self.talk(Settler(), script), Equals((200, "close")))
--- /dev/null
+++ b/vetchusher/hive/orders.py
@@ -0,0 +1,324 @@
+"""The doors for calls that are no clients' requests: `control` for operators, `directory` for clients.
+
+A call is read into its type, settled by whoever was handed in, and the answer written by its type: one
+handler for all, and a table of what there is to call.  Nothing here knows what a call means.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import unquote
+
+import orjson
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from vetchusher.kinds import Fault, Kind
+from vetchusher.net.door import ClientLink, Door
+from vetchusher.net.protocol import seconds_text
+
+log = logging.getLogger("vetchusher")
+
+PLACES = 256  # connections at once at a door
+MOST_BODY = 64 << 20  # bytes of a call, and of all that are read or settled at one time
+READ_S = 10.0  # from a call's head to the end of its body, and for an answer to be taken
+SETTLE_S = 8.0  # Danger: a call that is never settled would hold its place and its body for good
+CLOSE_S = 1.0  # for calls under way when the door closes
+POLL_S = 0.02
+BACK_US = 500_000  # told to a caller for whom there is no room
+MOST_NAME = 255  # characters of a zone's or host's name
+
+
+# -- calls and their answers ---------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class ReplaceConfiguration:
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Replaced:
+    """It is in force, or a higher version is."""
+
+
+@dataclass(slots=True, frozen=True)
+class RetrieveConfiguration:
+    pass
+
+
+@dataclass(slots=True, frozen=True)
+class Retrieved:
+    """:param body: the configuration as it was sent"""
+
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class InitiateEvacuation:
+    zone: str
+
+
+@dataclass(slots=True, frozen=True)
+class TerminateEvacuation:
+    zone: str
+
+
+@dataclass(slots=True, frozen=True)
+class EvacuationSet:
+    zone: str
+    on: bool
+
+
+@dataclass(slots=True, frozen=True)
+class AskResolution:
+    """:param name: the host that a client wants; it may be empty, as may the client's own places"""
+
+    name: str
+    region: str
+    zone: str
+
+
+@dataclass(slots=True, frozen=True)
+class Resolved:
+    """:param addresses: `host:port` of ingresses
+    :param ttl_s: how long a client may hold on to them
+    """
+
+    addresses: tuple[str, ...]
+    ttl_s: float
+
+
+Call = ReplaceConfiguration | RetrieveConfiguration | InitiateEvacuation | TerminateEvacuation | AskResolution
+Answer = Replaced | Retrieved | EvacuationSet | Resolved
+# It may be cancelled at any time, as its caller may leave: what it began may then be in force or not.
+Settle = Callable[[Any], Awaitable[Result[Any, Fault]]]
+
+
+# -- what there is to call -----------------------------------------------------------------------
+
+
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """A call as it came: the named parts of its path, its query and its body."""
+
+    parts: dict[str, str]
+    query: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Way:
+    """:param bodied: its body is a part of the call; else whatever comes is read and forgotten"""
+
+    method: str
+    path: re.Pattern[str]
+    read: Callable[[Asked], Result[Call, Fault]]
+    bodied: bool = False
+
+
+def replace(asked: Asked) -> Result[Call, Fault]:
+    return Success(ReplaceConfiguration(asked.body))
+
+
+def retrieve(asked: Asked) -> Result[Call, Fault]:
+    return Success(RetrieveConfiguration())
+
+
+def evacuate(
+    call: type[InitiateEvacuation] | type[TerminateEvacuation],
+) -> Callable[[Asked], Result[Call, Fault]]:
+    def read(asked: Asked) -> Result[Call, Fault]:
+        zone = unquote(asked.parts["zone"])
+        # Danger: the name becomes a row's key and goes into the log.
+        if not zone.isprintable() or len(zone) > MOST_NAME:
+            return Failure(Fault(Kind.INVALID, "zone: no name of one"))
+        return Success(call(zone))
+
+    return read
+
+
+def resolution(asked: Asked) -> Result[Call, Fault]:
+    return Success(AskResolution(*(asked.query.get(f, "")[:MOST_NAME] for f in ("name", "region", "zone"))))
+
+
+CONTROL = (
+    Way("POST", re.compile("/configuration/replace"), replace, bodied=True),
+    Way("GET", re.compile("/configuration/retrieve"), retrieve),
+    Way("POST", re.compile("/evacuation/(?P<zone>[^/]+)/initiate"), evacuate(InitiateEvacuation)),
+    Way("POST", re.compile("/evacuation/(?P<zone>[^/]+)/terminate"), evacuate(TerminateEvacuation)),
+)
+DIRECTORY = (Way("GET", re.compile("/resolution"), resolution),)
+
+WRITERS: dict[type, Callable[[Any], bytes]] = {
+    Replaced: lambda answer: b"{}",
+    Retrieved: lambda answer: bytes(answer.body),
+    EvacuationSet: orjson.dumps,
+    Resolved: orjson.dumps,
+}
+
+
+def written(outcome: Result[Answer, Fault]) -> web.Response:
+    """The one way from an outcome to what the caller gets."""
+    if is_successful(outcome):
+        answer = outcome.unwrap()
+        return web.Response(body=WRITERS[type(answer)](answer), content_type="application/json")
+    fault = outcome.failure()
+    headers = {"Retry-After": seconds_text(fault.retry_after_us)} if fault.retry_after_us else None
+    body = orjson.dumps({"error": fault.kind, "text": fault.text})
+    return web.Response(status=fault.status, body=body, headers=headers, content_type="application/json")
+
+
+def refused(status: int, text: str, allow: Iterable[str] = ()) -> web.Response:
+    """An answer of HTTP's own, before there is a call."""
+    headers = {"Allow": ", ".join(sorted(allow))} if allow else None
+    body = orjson.dumps({"error": "refused", "text": text})
+    response = web.Response(status=status, body=body, headers=headers, content_type="application/json")
+    response.force_close()  # its body, if any, was not read
+    return response
+
+
+def busy() -> web.Response:
+    response = written(Failure(Fault(Kind.NOT_SETTLED, "too much at once", BACK_US)))
+    response.force_close()
+    return response
+
+
+# -- the doors -----------------------------------------------------------------------------------
+
+
+class CallsDoor:
+    """It owns its connections, `PLACES` at most: each ends by its caller, by time, or in `close`."""
+
+    def __init__(
+        self, ways: tuple[Way, ...], settle: Settle, address: tuple[str, int], most_body: int = MOST_BODY
+    ) -> None:
+        self.ways = ways
+        self.settle = settle
+        self.address = address
+        self.most_body = most_body
+        self.held = 0  # bytes of bodies that are read or settled now
+        self.closing = False
+        self.door: Door | None = None
+
+    def open(self) -> None:
+        """Listen, on the running loop.  :raises OSError: where the address cannot be had"""
+        server = web.Server(self.handle, handler_cancellation=True, request_factory=self.make_request)
+        self.door = Door(asyncio.get_running_loop(), server, PLACES)
+        self.door.open(*self.address)
+        assert self.door.listener is not None
+        self.address = self.door.listener.getsockname()  # where any port was asked for: which it is
+
+    async def close(self) -> None:
+        """Let nobody in, give calls under way a moment, and end what is left."""
+        if self.door is None:
+            return
+        door, self.door, self.closing = self.door, None, True
+        await door.close()
+        end = door.loop.time() + CLOSE_S
+        while door.links and door.loop.time() < end:
+            await asyncio.sleep(POLL_S)
+        door.stop()
+        for link in list(door.links):
+            link.wire.abort()
+
+    def make_request(
+        self, message: Any, payload: Any, protocol: Any, writer: Any, task: asyncio.Task[None]
+    ) -> web.BaseRequest:
+        loop = asyncio.get_running_loop()
+        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=0)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        link = request.protocol
+        assert isinstance(link, ClientLink)
+        try:
+            response = await self.answer(request, link)
+            if self.closing:
+                response.force_close()
+            # Danger: who asks for long answers and reads none would hold them all.
+            async with asyncio.timeout(READ_S):
+                await response.prepare(request)
+                await response.write_eof()
+                await request.writer.drain()
+        except TimeoutError:
+            link.wire.abort()
+        finally:
+            link.answered()
+        return response
+
+    async def answer(self, request: web.BaseRequest, link: ClientLink) -> web.Response:
+        path, _, _ = request.raw_path.partition("?")
+        found = [(way, match) for way in self.ways if (match := way.path.fullmatch(path)) is not None]
+        if not found:
+            return refused(404, "nothing is called this")
+        way, match = next(((w, m) for w, m in found if w.method == request.method), (None, None))
+        if way is None or match is None:
+            return refused(405, f"not by {request.method}", {w.method for w, _ in found})
+        parts: list[bytes] = []
+        try:
+            problem = await self.body(request, link, way, parts)
+            if problem is not None:
+                return problem
+            return await self.settled(way, Asked(match.groupdict(), dict(request.query), b"".join(parts)))
+        finally:
+            self.held -= sum(map(len, parts))
+
+    async def body(
+        self, request: web.BaseRequest, link: ClientLink, way: Way, parts: list[bytes]
+    ) -> web.Response | None:
+        """Read the body into `parts`, counted in `held`; or the answer for one that cannot be had.
+
+        Danger: a hundred long bodies at once would be more than the process may hold.
+        """
+        if (request.content_length or 0) > self.most_body:
+            return refused(413, f"more than {self.most_body} bytes")
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            link.wire.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        size = 0
+        try:
+            async with asyncio.timeout(READ_S):
+                async for part in request.content.iter_any():
+                    size += len(part)
+                    if size > self.most_body:
+                        return refused(413, f"more than {self.most_body} bytes")
+                    if way.bodied:
+                        if self.held + len(part) > self.most_body:
+                            return busy()
+                        parts.append(part)
+                        self.held += len(part)
+        except TimeoutError:
+            return refused(408, f"not whole after {READ_S:g} s")
+        except (web.RequestPayloadError, HttpProcessingError) as err:
+            return refused(400, " ".join(str(err).split())[:MOST_NAME])
+        return None
+
+    async def settled(self, way: Way, asked: Asked) -> web.Response:
+        call = way.read(asked)
+        if not is_successful(call):
+            return written(Failure(call.failure()))
+        try:
+            async with asyncio.timeout(SETTLE_S):
+                return written(await self.settle(call.unwrap()))
+        except TimeoutError:
+            return written(Failure(Fault(Kind.NOT_SETTLED, f"no clear answer in {SETTLE_S:g} s")))
+
+
+class ControlDoor(CallsDoor):
+    """Operators' orders."""
+
+    def __init__(self, settle: Settle, address: tuple[str, int], most_body: int = MOST_BODY) -> None:
+        super().__init__(CONTROL, settle, address, most_body)
+
+
+class DirectoryDoor(CallsDoor):
+    """Clients' questions where to go."""
+
+    def __init__(self, settle: Settle, address: tuple[str, int]) -> None:
+        super().__init__(DIRECTORY, settle, address, MOST_NAME)
