Add the system's command line and log: run, check, inspect, version

A command is looked at whole before it is done, a store is read from a copy, and the schema library is loaded for check only. The log has at most ten lines of an event a second.

--- /dev/null
+++ b/vetchusher/hive/cli.py
@@ -0,0 +1,217 @@
+"""`python3 -m vetchusher.hive`: run a process of the system, check its files, look into its store.
+
+Codes: 0 done; 1 it could not serve; 2 the call, or a file that it names, cannot be used.
+"""
+
+from __future__ import annotations
+
+import importlib
+import json
+import os
+import pathlib
+import shutil
+import sys
+import tempfile
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import fire  # type: ignore[import-untyped]
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from vetchusher import __version__
+from vetchusher.kinds import Fault, Kind
+from vetchusher.settings.node import SCHEMA, NodeSettings, node_of, read_node, read_tree
+
+CONFIG = "VETCHUSHER_CONFIG"
+UNUSABLE = 2
+
+
+class Todo:
+    """What a call asks for, not yet done.
+
+    Danger: fire calls a command before it has looked at the rest of the line; a misspelt flag would be
+    turned down when the process ends.
+    """
+
+    __slots__ = ("_do",)
+
+    def __init__(self, do: Callable[[], int]) -> None:
+        self._do = do
+
+
+class Commands:
+    """One process of the system on this machine."""
+
+    def run(self, config: str = "") -> Todo:
+        """Run it in the foreground until SIGTERM; SIGHUP reads the settings again.
+
+        Args:
+            config: the settings file; without it the one that $VETCHUSHER_CONFIG names
+        """
+        return Todo(lambda: run(str(config) or os.environ.get(CONFIG, "")))
+
+    def check(self, settings: str = "", configuration: str = "", data: str = "") -> Todo:
+        """Say in a line what each file or folder holds, or what is wrong with it (code 2).
+
+        Args:
+            settings: a settings file, as the platform writes it
+            configuration: an operator's configuration, as it is sent
+            data: a data folder; it is not changed
+        """
+        return Todo(lambda: check(str(settings), str(configuration), str(data)))
+
+    def inspect(self, folder: str) -> Todo:
+        """Show what a data folder holds, as JSON; it is not changed.
+
+        Args:
+            folder: the data_directory of a process that does not run now
+        """
+        return Todo(lambda: report([inspected(str(folder))]))
+
+    def version(self) -> Todo:
+        """Print the version."""
+        return Todo(lambda: report([Success(f"vetchusher {__version__}")]))
+
+
+def main(argv: Sequence[str]) -> int:
+    found = fire.Fire(
+        Commands,
+        command=list(argv),
+        name="vetchusher.hive",
+        serialize=lambda r: None if type(r) is Todo else r,
+    )
+    return found._do() if isinstance(found, Todo) else 0
+
+
+def run(path: str) -> int:
+    if not path:
+        return report([bad(f"no settings: give --config or set {CONFIG}")])
+    settings = read_node(path)
+    if not is_successful(settings):
+        return report([Failure(settings.failure())])
+    from .log import start_logging
+
+    start_logging()
+    # Loaded only here: it brings the sockets, and all that a process of this role needs.
+    process = importlib.import_module("vetchusher.hive.process")
+    return int(process.run(settings.unwrap(), path))
+
+
+def check(settings: str, configuration: str, data: str) -> int:
+    asked = ((settings, checked_settings), (configuration, checked_configuration), (data, checked_data))
+    lines = [look(path) for path, look in asked if path]
+    return report(lines or [bad("nothing to check: give --settings, --configuration or --data")])
+
+
+def report(lines: Sequence[Result[str, Fault]]) -> int:
+    """Good lines to standard output, others to standard error; the code of both."""
+    for line in lines:
+        if is_successful(line):
+            print(line.unwrap())
+        else:
+            print(f"vetchusher: {line.failure().text}", file=sys.stderr)
+    return 0 if all(map(is_successful, lines)) else UNUSABLE
+
+
+def bad(text: str, kind: Kind = Kind.BAD_SETTINGS) -> Result[str, Fault]:
+    return Failure(Fault(kind, text))
+
+
+def fitting(line: str, path: str, tree: Any, schema: pathlib.Path) -> Result[str, Fault]:
+    """The line, where the schema allows the tree as the program does."""
+    # Loaded for people only: a process reads without the schema library.
+    from vetchusher.settings.document import misfit
+
+    fault = misfit(tree, schema)
+    return Success(line) if fault is None else bad(f"{path}: {fault}")
+
+
+def checked_settings(path: str) -> Result[str, Fault]:
+    return read_tree(path).bind(
+        lambda tree: node_of(tree, path).bind(
+            lambda node: fitting(f"{path}: {told(node)}", path, tree, SCHEMA)
+        )
+    )
+
+
+def told(node: NodeSettings) -> str:
+    doors = {name: getattr(node.listen, name) for name in ("front", "ready", "control", "directory")}
+    at = " ".join(f"{name}={a[0]}:{a[1]}" for name, a in doors.items() if a is not None)
+    store = node.data_directory or "nothing"
+    return f"{node.node_name} in {node.zone} ({node.region}) serves {at or 'nobody'}; keeps {store}"
+
+
+def checked_configuration(path: str) -> Result[str, Fault]:
+    from vetchusher.settings.configuration import read_configuration
+
+    try:
+        raw = pathlib.Path(path).read_bytes()
+    except OSError as err:
+        return bad(f"{path}: {err.strerror}")
+    return (
+        read_configuration(raw)
+        .map(
+            lambda c: (
+                f"{path}: r{c.version}: {len(c.routes)} routes, {len(c.services)} services, "
+                f"{len(c.tenants)} tenants"
+            )
+        )
+        .alt(lambda fault: Fault(fault.kind, f"{path}: {fault.text}"))
+    )
+
+
+def checked_data(folder: str) -> Result[str, Fault]:
+    return kept_in(folder).map(
+        lambda kept: f"{folder}: nothing yet" if kept is None else f"{folder}: {json.dumps(shown(kept))}"
+    )
+
+
+def inspected(folder: str) -> Result[str, Fault]:
+    return kept_in(folder).map(lambda kept: json.dumps(None if kept is None else shown(kept), indent=2))
+
+
+def kept_in(folder: str) -> Result[Any, Fault]:
+    """What a store holds: `comb`'s `Kept`, or None where it is empty.
+
+    Read from a copy: opening a store mends it and makes files beside it.
+    """
+    from vetchusher import comb
+
+    try:
+        if not any(pathlib.Path(folder).iterdir()):
+            return Success(None)
+        with tempfile.TemporaryDirectory() as place:
+            copy = shutil.copytree(folder, pathlib.Path(place) / "copy")
+            store: Any = comb.Store  # type: ignore[attr-defined, unused-ignore]
+            opened: Result[Any, Fault] = store.open(str(copy))
+            return opened.bind(loaded).alt(lambda f: Fault(f.kind, f"{folder}: {f.text}"))
+    except (OSError, shutil.Error) as err:
+        return bad(f"{folder}: {getattr(err, 'strerror', None) or err}", Kind.BAD_STORE)
+
+
+def loaded(store: Any) -> Result[Any, Fault]:
+    try:
+        found: Result[Any, Fault] = store.load()
+        return found
+    finally:
+        if hasattr(store, "close"):
+            store.close()
+
+
+def shown(kept: Any) -> dict[str, Any]:
+    """What people want to know of a store, of those things that it has."""
+    from vetchusher.waggle.rows import digest
+
+    state = getattr(kept, "state", None)
+    found = {"promised": getattr(kept, "promised", None), "forgetful": getattr(kept, "forgetful", None)}
+    if state is not None:
+        found |= {
+            "stamp": f"{state.stamp.epoch}.{state.stamp.seq}",
+            "version": f"r{state.version}" if state.version else None,
+            "bytes": len(state.configuration),
+            "digest": digest(state.configuration) if state.configuration else None,
+            "evacuations": {e.zone: f"{'on' if e.on else 'off'}, order {e.order}" for e in state.evacuations},
+            "members": list(state.members),
+        }
+    return {name: value for name, value in found.items() if value is not None}
--- /dev/null
+++ b/vetchusher/hive/log.py
@@ -0,0 +1,66 @@
+"""The log: a line for each note, and few of them whatever happens."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TextIO
+
+from absl import flags
+from absl import logging as absl_logging
+
+from vetchusher.events import Note
+
+MOST_LINES = 10  # a second, of one event
+MOST_CHARACTERS = 2_000  # of a line: others choose what some of them quote
+MOST_KEYS = 256
+
+
+class FewOfEach(logging.Filter):
+    """So many lines of one event, or one logger, in a second; the next one says how many were left out.
+
+    Danger: what others send must not turn the log into work.  It owns the counts: one for each event and
+    logger, `MOST_KEYS` at most, then all begin anew.
+    """
+
+    def __init__(self, most: int = MOST_LINES) -> None:
+        super().__init__()
+        self.most = most
+        self.counts: dict[object, tuple[int, int]] = {}  # the second, and lines asked for in it
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        key = getattr(record, "event", record.name)
+        if key not in self.counts and len(self.counts) >= MOST_KEYS:
+            self.counts.clear()
+        second, lines = self.counts.get(key, (0, 0))
+        if second != int(record.created):  # either way: the time of day jumps
+            if lines > self.most:
+                record.msg, record.args = f"{record.getMessage()} left_out={lines - self.most}", ()
+            second, lines = int(record.created), 0
+        self.counts[key] = second, lines + 1
+        return lines < self.most
+
+
+class OneLine(logging.Formatter):
+    def __init__(self) -> None:
+        super().__init__("%(asctime)s.%(msecs)03d %(levelname).1s %(message)s", "%Y-%m-%dT%H:%M:%S")
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Danger: a line's end inside a line would let others write lines of their own."""
+        return " | ".join(super().format(record).splitlines())[:MOST_CHARACTERS]
+
+
+def start_logging(stream: TextIO | None = None) -> None:
+    """Send all loggers' lines to the stream, standard error by default."""
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()  # the command line is another's; absl would wait for it, and say so
+    absl_logging.use_absl_handler()
+    absl_logging.set_verbosity(absl_logging.INFO)
+    handler = absl_logging.get_absl_handler()
+    handler.python_handler.stream = stream or sys.stderr
+    handler.setFormatter(OneLine())
+    handler.addFilter(FewOfEach())
+
+
+def write(note: Note) -> None:
+    absl_logging.get_absl_logger().info("%s", note.line(), extra={"event": note.event})
--- a/vetchusher/settings/configuration.py
+++ b/vetchusher/settings/configuration.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import pathlib
 import re
 from collections import Counter
 from collections.abc import Iterable
@@ -19,6 +20,7 @@
 from vetchusher.fields import FieldError, Fields, shown
 from vetchusher.kinds import Fault, Kind
 
+SCHEMA = pathlib.Path(__file__).parent / "configuration.schema.json"
 VERSION = re.compile(r"r([0-9]{1,18})")  # any such number fits into 64 bits
 CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 LONE_HALF = re.compile(rb"\\u[dD][89a-fA-F]")  # where one of a pair of surrogates may stand alone
--- a/vetchusher/settings/document.py
+++ b/vetchusher/settings/document.py
@@ -45,10 +45,18 @@
         tree = json.loads(raw, object_pairs_hook=no_twins, parse_constant=no_constants)
     except (ValueError, RecursionError) as err:
         raise SettingsError(f"{path}: {' '.join(str(err).split())[:MOST_TEXT]}") from None
-    rules = json.loads((SCHEMAS / schema).read_bytes())
-    fault = best_match(Draft202012Validator(rules).iter_errors(tree))
+    fault = misfit(tree, SCHEMAS / schema)
     if fault is not None:
-        place = fault.json_path.removeprefix("$").removeprefix(".") or "the whole"
-        raise SettingsError(f"{path}: {place}: {' '.join(fault.message.split())[:MOST_TEXT]}")
+        raise SettingsError(f"{path}: {fault}")
     assert isinstance(tree, dict)  # every schema of ours says so
     return tree
+
+
+def misfit(tree: Any, schema: pathlib.Path) -> str | None:
+    """The place of the first value that the schema does not allow, and why; None: it allows the tree."""
+    rules = json.loads(schema.read_bytes())
+    fault = best_match(Draft202012Validator(rules).iter_errors(tree))
+    if fault is None:
+        return None
+    place = fault.json_path.removeprefix("$").removeprefix(".") or "the whole"
+    return f"{place}: {' '.join(fault.message.split())[:MOST_TEXT]}"
--- a/vetchusher/settings/node.py
+++ b/vetchusher/settings/node.py
@@ -21,6 +21,7 @@
 Address = tuple[str, int]  # an IP number or name, and a port
 T = TypeVar("T")
 ADDRESS = re.compile(r"([0-9A-Za-z._-]+):([0-9]{1,5})")
+SCHEMA = pathlib.Path(__file__).parent / "node.schema.json"
 MOST_BYTES = 1 << 20
 MOST_TEXT = 300  # characters of a message: it quotes what the file says
 
