Put the whole path together: paths between processes, keeper, forager, process

Frames of protobuf over one connection a fellow; the primary reads the platform's list and holds the totals; ingresses beat to the core, pull what they lack, push what they have passed.

--- a/vetchusher/entrance/presence.py
+++ b/vetchusher/entrance/presence.py
@@ -27,7 +27,7 @@
 
 
 class Presence:
-    """Owner of what is known of the ingresses: an entry goes when it has been silent for MAY_SERVE_US."""
+    """Owner of what is known of them: an entry goes when it has been silent for MAY_SERVE_US."""
 
     def __init__(self) -> None:
         self.ingresses: dict[str, Ingress] = {}
@@ -60,7 +60,7 @@
         return notes
 
     def may_serve(self) -> dict[str, int]:
-        """Ingresses that may have clients, those lately lost among them, with when each was last heard (us)."""
+        """When each that may have clients, those lately lost among them, was last heard (us)."""
         return {node: one.heard_at for node, one in self.ingresses.items()}
 
     def serving(self, now: int) -> list[Ingress]:
--- /dev/null
+++ b/vetchusher/hive/following.py
@@ -0,0 +1,61 @@
+"""Carries out what a `Follower` wants sent, and tells it what became of that."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from vetchusher.events import Note
+from vetchusher.waggle import wire_pb2 as wire
+from vetchusher.waggle.follower import Follower, Send, SendBeat
+
+from .paths import Paths
+
+BEAT_S = 1.2  # for the answer to a beat
+PULL_S = 1.4
+
+
+class Standing(Protocol):
+    """Whose beats they are, and who is told of news."""
+
+    now: Callable[[], int]
+    note: Callable[[Note], None]
+
+    def beat(self) -> wire.Beat: ...
+
+    def news_taken(self, changed: set[str]) -> None: ...
+
+
+class Following:
+    """Owner of the questions under way: one beat a core machine, and one pull."""
+
+    def __init__(self, paths: Paths, follower: Follower, standing: Standing) -> None:
+        self.paths, self.follower, self.standing = paths, follower, standing
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def carry(self, sends: Sequence[Send]) -> None:
+        for send in sends:
+            work = self.beat(send.to) if isinstance(send, SendBeat) else self.pull(send)
+            task = self.paths.loop.create_task(work)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def beat(self, to: str) -> None:
+        sent_at = self.standing.now()
+        answer = await self.paths.ask(to, wire.Frame(beat=self.standing.beat()), BEAT_S)
+        told = answer.beat_heard if answer is not None and answer.WhichOneof("body") == "beat_heard" else None
+        self.carry(self.follower.heard_beat(self.standing.now(), to, sent_at, told))
+
+    async def pull(self, send: Send) -> None:
+        assert not isinstance(send, SendBeat)
+        answer = await self.paths.ask(send.to, wire.Frame(pull=send.pull), PULL_S)
+        told = answer.news if answer is not None and answer.WhichOneof("body") == "news" else None
+        changed, notes = self.follower.heard_news(send.number, told)
+        for note in notes:
+            self.standing.note(note)
+        self.standing.news_taken(changed)
+
+    async def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
--- /dev/null
+++ b/vetchusher/hive/forager.py
@@ -0,0 +1,174 @@
+"""What a machine that clients call does: it keeps up with the core, and serves requests by what it knows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from returns.result import Success
+
+from vetchusher.events import Event, Note
+from vetchusher.limits.tally import Tally
+from vetchusher.limits.tries import ExtraTries
+from vetchusher.scouts.reader import read_row
+from vetchusher.scouts.server import Server
+from vetchusher.settings.node import NodeSettings
+from vetchusher.waggle import wire_pb2 as wire
+from vetchusher.waggle.follower import Follower, Send
+from vetchusher.waggle.ledger import Ledger, vector_of
+from vetchusher.waggle.rows import configuration_of, evacuated_of
+
+from .following import Following
+from .front import Front, Readiness
+from .paths import Channel, Paths
+
+TICK_S = 0.05
+SYNC_S = 0.15  # between two pushes of what has passed
+PUSH_S = 0.6  # for the totals that answer one
+MOST_PUSHES = 4  # under way at a time
+
+
+class Forager:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        node: NodeSettings,
+        paths: Paths,
+        rng: random.Random,
+        now: Callable[[], int],
+        note: Callable[[Note], None],
+    ) -> None:
+        self.loop, self.node, self.paths, self.now, self.note = loop, node, paths, now, note
+        self.life = rng.getrandbits(62) | 1
+        self.comb, self.scouts = Ledger("comb"), Ledger("scouts")
+        self.sources = {"comb": self.comb, "scouts": self.scouts}
+        self.follower = Follower([host for host, _ in node.seed_nodes], self.sources)
+        self.following = Following(paths, self.follower, self)
+        self.tally = Tally(node.node_name, self.life)
+        bounds = node.bounds
+        self.extra = ExtraTries(bounds.retry_budget_ratio, int(bounds.budget_slack), bounds.budget_window_s)
+        self.front = Front(loop, node, rng, self.tally, self.extra, note)
+        self.readiness = Readiness(loop, self.ready)
+        self.known: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
+        self.version = 0
+        self.leaving = False
+        self.pushes: set[asyncio.Task[None]] = set()
+        self.pushed_at = 0.0
+
+    # -- keeping up -------------------------------------------------------------------------
+
+    def serve(self, frame: wire.Frame, channel: Channel) -> None:
+        if frame.WhichOneof("body") == "beat_heard":
+            self.carry_sends(self.follower.heard_beat(self.now(), frame.sender, 0, frame.beat_heard))
+
+    def carry_sends(self, sends: Sequence[Send]) -> None:
+        self.following.carry(sends)
+
+    def beat(self) -> wire.Beat:
+        node, front = self.node, self.node.listen.front
+        standing = wire.LEAVING if self.leaving else wire.READY if self.ready() else wire.STARTING
+        return wire.Beat(
+            node=node.node_name,
+            ip=node.ip_address,
+            zone=node.zone,
+            region=node.region,
+            front=f"{front[0]}:{front[1]}" if front else "",
+            life=self.life,
+            standing=standing,
+            vector=vector_of(self.sources),
+        )
+
+    def ready(self) -> bool:
+        return self.version > 0 and bool(self.known) and not self.leaving
+
+    def news_taken(self, changed: set[str]) -> None:
+        now, was_ready = self.now(), self.ready()
+        if "comb" in changed:
+            self.configuration_came(now)
+        if "scouts" in changed:
+            self.servers_came(now)
+        self.front.fresh(self.follower.fresh(now))
+        if self.ready() and not was_ready:
+            self.carry_sends(self.follower.beat_now(now))
+
+    def configuration_came(self, now: int) -> None:
+        rows = self.comb.values()
+        self.front.evacuated(evacuated_of(rows), now)
+        match configuration_of(rows):
+            case Success(configuration) if configuration.version > self.version:
+                self.version = configuration.version
+                self.front.configuration(configuration)
+                self.tally.configure(now, configuration.tenants)
+            case Success():
+                pass
+            case fault if "version" in rows:
+                self.note(Note(Event.NEWS_UNUSABLE, {"why": fault.failure().text}))
+
+    def servers_came(self, now: int) -> None:
+        known: dict[str, tuple[bytes, Server]] = {}
+        for instance, value in self.scouts.values().items():
+            kept = self.known.get(instance)
+            if kept is not None and kept[0] == value:
+                known[instance] = kept  # its spans go on from when they were first told
+                continue
+            match read_row(instance, value, now):
+                case Success(server):
+                    known[instance] = (value, server)
+                case fault:
+                    self.note(Note(Event.NEWS_UNUSABLE, {"why": fault.failure().text}))
+        self.known = known
+        self.front.servers([server for _, server in known.values()])
+
+    # -- time ---------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Ticks until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    def tick(self) -> None:
+        now = self.now()
+        self.carry_sends(self.follower.tick(now))
+        self.front.fresh(self.follower.fresh(now))
+        ingresses = self.follower.ingresses(now)
+        if ingresses:
+            self.tally.fleet(ingresses)
+            self.extra.fleet(ingresses)
+        if self.loop.time() - self.pushed_at >= SYNC_S and len(self.pushes) < MOST_PUSHES:
+            self.pushed_at = self.loop.time()
+            primary, push = self.follower.primary(now), self.tally.push(now)
+            if primary and push is not None:
+                task = self.loop.create_task(self.push(primary, push))
+                self.pushes.add(task)
+                task.add_done_callback(self.pushes.discard)
+        self.paths.keep(set(self.follower.contacts))
+
+    async def push(self, primary: str, push: wire.Push) -> None:
+        answer = await self.paths.ask(primary, wire.Frame(push=push), PUSH_S)
+        if answer is not None and answer.WhichOneof("body") == "totals":
+            self.tally.heard(self.now(), answer.totals)
+
+    def reseed(self, node: NodeSettings) -> None:
+        self.node = node
+        self.follower.reseed([host for host, _ in node.seed_nodes])
+
+    async def open(self) -> None:
+        listen = self.node.listen
+        if listen.front is not None:
+            self.front.open(*listen.front)
+        if listen.ready is not None:
+            await self.readiness.open(*listen.ready)
+
+    def leave(self) -> None:
+        """Off the directory first; then what is open is told to go elsewhere."""
+        self.leaving = True
+        self.carry_sends(self.follower.beat_now(self.now()))
+        self.front.leave()
+
+    async def close(self, deadline_s: float) -> None:
+        """:param deadline_s: on the loop's clock"""
+        await self.front.close(int(deadline_s * 1e6))
+        await self.readiness.close()
+        await self.following.close()
--- /dev/null
+++ b/vetchusher/hive/keeper.py
@@ -0,0 +1,342 @@
+"""What a machine with a disk does: control state, news, who serves, and the duties of the primary."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from returns.result import Failure, Result, Success
+
+from vetchusher import comb
+from vetchusher.comb import Member
+from vetchusher.entrance.presence import Presence
+from vetchusher.events import Event, Note
+from vetchusher.kinds import Fault, Kind
+from vetchusher.limits.totals import Holder
+from vetchusher.scouts.reader import Reader
+from vetchusher.settings.configuration import Configuration, read_configuration
+from vetchusher.settings.node import NodeSettings
+from vetchusher.waggle import wire_pb2 as wire
+from vetchusher.waggle.follower import Follower, Send
+from vetchusher.waggle.ledger import Ledger, vector_of
+from vetchusher.waggle.rows import rows_of
+
+from . import orders
+from .following import Following
+from .paths import Channel, Paths
+from .platform import Platform
+from .saving import Saving
+
+TICK_S = 0.05
+READ_PAUSE_S = 0.6  # between two whole reads of the list
+PASS_ON_S = 2.5  # for the primary's answer to an order passed on
+TTL_S = 2
+MOST_WATCHERS = 2048
+
+
+class Keeper:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        node: NodeSettings,
+        paths: Paths,
+        store: comb.Store,
+        kept: comb.Kept | None,
+        rng: random.Random,
+        now: Callable[[], int],
+        note: Callable[[Note], None],
+    ) -> None:
+        self.loop, self.node, self.paths, self.now, self.note = loop, node, paths, now, note
+        seeds = [host for host, _ in node.seed_nodes]
+        self.member = Member(
+            node.ip_address, node.zone, seeds, node.first_start, kept, comb.Timing(), rng, now()
+        )
+        self.saving = Saving(loop, store, self.saved, note)
+        self.presence = Presence()
+        self.comb, self.scouts = Ledger("comb"), Ledger("scouts")
+        self.sources = {"comb": self.comb, "scouts": self.scouts}
+        self.follower = Follower(seeds, {"scouts": self.scouts, "comb": Ledger("comb")}, node.ip_address)
+        self.configuration: Configuration | None = None
+        self.configuration_raw = b""
+        self.watchers: dict[str, Channel] = {}  # by ip: to whom a grown vector is told unasked
+        self.orders: dict[int, asyncio.Future[Result[bytes, Fault]]] = {}
+        self.next_order = 1
+        self.duty: asyncio.Task[None] | None = None
+        self.holder: Holder | None = None
+        self.platform = Platform(node.cloud_api)
+        self.following = Following(self.paths, self.follower, self)
+
+    # -- inputs of the control state ----------------------------------------------------
+
+    def feed(self, event: comb.Input) -> None:
+        for output in self.member.handle(self.now(), event):
+            self.carry(output)
+
+    def carry(self, output: comb.Output) -> None:
+        match output:
+            case comb.Tell(to, letter):
+                self.paths.tell(to, wire.Frame(comb=letter))
+            case comb.Save(token, kept):
+                self.saving.save(token, kept)
+            case comb.Done(number, outcome):
+                future = self.orders.get(number)
+                if future is not None and not future.done():
+                    future.set_result(outcome)
+            case comb.Committed(state):
+                self.committed(state)
+            case Note():
+                self.note(output)
+
+    def saved(self, token: int, good: bool) -> None:
+        self.feed(comb.Saved(token, good))
+
+    def committed(self, state: wire.CombState) -> None:
+        """Tell what has become part of the state: rows of the configuration, and zones evacuated."""
+        if state.version and state.configuration != self.configuration_raw:
+            match read_configuration(state.configuration):
+                case Success(configuration):
+                    self.configuration, self.configuration_raw = configuration, state.configuration
+                case Failure(fault):  # it was checked before it was stored: this program is older
+                    self.note(Note(Event.NEWS_UNUSABLE, {"why": fault.text}))
+                    return
+        rows: dict[str, bytes] = {}
+        if self.configuration is not None:
+            evacuated = {one.zone: one.on for one in state.evacuations}
+            rows = rows_of(self.configuration, self.configuration_raw, evacuated)
+        if self.comb.publish((state.stamp.epoch, state.stamp.seq), rows):
+            if self.holder is not None and self.configuration is not None:
+                self.holder.configure(self.now(), self.configuration.tenants)
+            self.tell_watchers()
+
+    # -- frames ---------------------------------------------------------------------------
+
+    def serve(self, frame: wire.Frame, channel: Channel) -> None:
+        kind = frame.WhichOneof("body")
+        if kind == "comb":
+            self.feed(comb.Heard(frame.sender, frame.zone, frame.comb))
+        elif kind == "beat":
+            for note in self.presence.heard(self.now(), frame.beat):
+                self.note(note)
+            if frame.beat.ip in self.watchers or len(self.watchers) < MOST_WATCHERS:
+                self.watchers[frame.beat.ip] = channel
+            channel.reply(frame, wire.Frame(beat_heard=self.heard()))
+        elif kind == "pull":
+            channel.reply(frame, wire.Frame(news=self.news(frame.pull)))
+        elif kind == "push":
+            if self.holder is not None and self.member.holds(self.now()):
+                channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
+        elif kind == "order":
+            task = self.loop.create_task(self.settle_for(frame, channel))
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        elif kind == "beat_heard":
+            self.carry_sends(self.follower.heard_beat(self.now(), frame.sender, 0, frame.beat_heard))
+
+    def heard(self) -> wire.BeatHeard:
+        now = self.now()
+        return wire.BeatHeard(
+            vector=vector_of(self.sources),
+            members=self.member.members,
+            primary=self.member.primary,
+            in_force=self.member.in_force(now),
+            ingresses=len(self.presence.may_serve()),
+        )
+
+    def news(self, pull: wire.Pull) -> wire.News:
+        told = wire.News()
+        for at in pull.vector:
+            ledger = self.sources.get(at.source)
+            if ledger is not None:
+                news = ledger.since((at.stamp.epoch, at.stamp.seq))
+                if news is not None:
+                    told.sources.append(news)
+        return told
+
+    def tell_watchers(self) -> None:
+        """A grown vector, unasked: whoever lacks it pulls at once."""
+        heard = self.heard()
+        for ip, channel in list(self.watchers.items()):
+            frame = wire.Frame(beat_heard=heard)
+            self.paths.sign(frame)
+            if not channel.write(frame):
+                del self.watchers[ip]
+
+    # -- orders -----------------------------------------------------------------------------
+
+    async def settle(self, call: orders.Call) -> Result[orders.Answer, Fault]:
+        """An operator's or a client's call at this machine's own doors."""
+        match call:
+            case orders.AskResolution(_, region, zone):
+                fronts = self.presence.name(self.now(), region, zone)
+                if not fronts:
+                    return Failure(Fault(Kind.NOT_SETTLED, "no ingress is known here"))
+                return Success(orders.Resolved(tuple(fronts), min(TTL_S, self.node.bounds.ttl_max_s)))
+            case orders.ReplaceConfiguration(body):
+                checked = read_configuration(body)
+                if isinstance(checked, Failure):
+                    return Failure(checked.failure())
+                order = comb.Replace(checked.unwrap().version, body)
+                passed = wire.OrderAsked(replace=wire.ReplaceConfiguration(body=body))
+                return (await self.decide(order, passed)).map(lambda _: orders.Replaced())
+            case orders.RetrieveConfiguration():
+                passed = wire.OrderAsked(retrieve=wire.RetrieveConfiguration())
+                return (await self.decide(comb.Retrieve(), passed)).map(orders.Retrieved)
+            case orders.InitiateEvacuation(zone) | orders.TerminateEvacuation(zone):
+                if zone not in self.node.zones:
+                    return Failure(Fault(Kind.NOT_FOUND, f"no zone {zone}"))
+                on = isinstance(call, orders.InitiateEvacuation)
+                passed = wire.OrderAsked(evacuate=wire.Evacuate(zone=zone, on=on))
+                outcome = await self.decide(comb.SetEvacuation(zone, on), passed)
+                return outcome.map(lambda _: orders.EvacuationSet(zone, on))
+        return Failure(Fault(Kind.NOT_FOUND, "no such call"))
+
+    async def decide(self, order: comb.Order, passed: wire.OrderAsked) -> Result[bytes, Fault]:
+        """Settle it here where this is the primary; else pass it on once."""
+        if self.member.holds(self.now()):
+            return await self.submit(order)
+        primary = self.member.primary
+        if not primary or primary == self.node.ip_address:
+            return Failure(Fault(Kind.NOT_SETTLED, "no primary is known", 300_000))
+        answer = await self.paths.ask(primary, wire.Frame(order=passed), PASS_ON_S)
+        if answer is None or answer.WhichOneof("body") != "done":
+            return Failure(Fault(Kind.NOT_SETTLED, "no answer from the primary", 300_000))
+        if answer.done.kind:
+            kind = Kind(answer.done.kind) if answer.done.kind in set(Kind) else Kind.NOT_SETTLED
+            return Failure(Fault(kind, answer.done.text, 300_000))
+        return Success(answer.done.body)
+
+    async def submit(self, order: comb.Order) -> Result[bytes, Fault]:
+        number, self.next_order = self.next_order, self.next_order + 1
+        future: asyncio.Future[Result[bytes, Fault]] = self.loop.create_future()
+        self.orders[number] = future
+        try:
+            self.feed(comb.Submitted(number, order))
+            return await future
+        finally:
+            del self.orders[number]
+
+    async def settle_for(self, frame: wire.Frame, channel: Channel) -> None:
+        """An order that another core machine passed on: settled here or not at all."""
+        outcome: Result[bytes, Fault] = Failure(Fault(Kind.NOT_SETTLED, "not the primary"))
+        if self.member.holds(self.now()):
+            asked = frame.order
+            kind = asked.WhichOneof("order")
+            if kind == "replace":
+                checked = read_configuration(asked.replace.body)
+                if isinstance(checked, Failure):
+                    outcome = Failure(checked.failure())
+                else:
+                    outcome = await self.submit(comb.Replace(checked.unwrap().version, asked.replace.body))
+            elif kind == "retrieve":
+                outcome = await self.submit(comb.Retrieve())
+            elif kind == "evacuate":
+                outcome = await self.submit(comb.SetEvacuation(asked.evacuate.zone, asked.evacuate.on))
+        done = wire.OrderDone()
+        match outcome:
+            case Success(body):
+                done.body = body
+            case Failure(fault):
+                done.kind, done.text = fault.kind.value, fault.text
+        channel.reply(frame, wire.Frame(done=done))
+
+    # -- time -----------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Ticks until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    def tick(self) -> None:
+        now = self.now()
+        self.feed(comb.Tick())
+        for note in self.presence.sweep(now):
+            self.note(note)
+        holds = self.member.holds(now)
+        if holds and (self.duty is None or self.duty.done()):
+            self.begin_duties(now)
+        elif not holds and self.holder is not None:
+            self.end_duties()
+        if self.holder is not None:
+            self.holder.fleet(now, self.presence.may_serve())
+        self.carry_sends(self.follower.tick(now))
+        named = {*self.member.members, *self.follower.seeds} - {self.node.ip_address}
+        self.paths.keep(named)
+
+    def begin_duties(self, now: int) -> None:
+        epoch = self.member.epoch
+        if self.holder is None:
+            self.holder = Holder(epoch, now)
+            self.holder.fleet(now, self.presence.may_serve())
+            if self.configuration is not None:
+                self.holder.configure(now, self.configuration.tenants)
+            self.note(Note(Event.TOTALS_HELD, {"epoch": epoch}))
+        self.duty = self.loop.create_task(self.read_list(epoch))
+
+    def end_duties(self) -> None:
+        self.holder = None
+        if self.duty is not None:
+            self.duty.cancel()
+        self.note(Note(Event.TOTALS_LOST))
+
+    def on_duty(self, epoch: int) -> bool:
+        return self.member.holds(self.now()) and self.member.epoch == epoch
+
+    async def read_list(self, epoch: int) -> None:
+        """Read the platform's list, and tell what it says, for as long as the epoch is held."""
+        reader = Reader(self.node.zones, self.scouts.values())
+        seq, told, failed = 0, None, False
+        while self.on_duty(epoch):
+            began = self.loop.time()
+            match await self.platform.read():
+                case Success(entries):
+                    if not self.on_duty(epoch):
+                        return
+                    serving = [(one.node, one.region) for one in self.presence.serving(self.now())]
+                    rows: Mapping[str, bytes] = reader.read(entries, serving)
+                    if rows != told:
+                        seq, told = seq + 1, rows
+                        self.scouts.publish((epoch, seq), rows)
+                        self.note(Note(Event.LIST_READ, {"epoch": epoch, "seq": seq, "servers": len(rows)}))
+                        self.tell_watchers()
+                    failed = False
+                case Failure(fault):
+                    if not failed:
+                        self.note(Note(Event.LIST_FAILED, {"why": fault.text}))
+                    failed = True
+            pause = max(READ_PAUSE_S, self.platform.pause_s)
+            await asyncio.sleep(max(0.05, began + pause - self.loop.time()))
+
+    # -- keeping up with the other core machines ----------------------------------------------------
+
+    def carry_sends(self, sends: Sequence[Send]) -> None:
+        self.following.carry(sends)
+
+    def beat(self) -> wire.Beat:
+        node = self.node
+        return wire.Beat(
+            node=node.node_name,
+            ip=node.ip_address,
+            zone=node.zone,
+            region=node.region,
+            vector=vector_of(self.sources),
+        )
+
+    def news_taken(self, changed: set[str]) -> None:
+        if changed:
+            self.tell_watchers()
+
+    def reseed(self, node: NodeSettings) -> None:
+        self.node = node
+        self.follower.reseed([host for host, _ in node.seed_nodes])
+
+    def leave(self) -> None:
+        """Nothing to tell: the others learn of it by the lease."""
+
+    async def close(self, deadline_s: float) -> None:
+        """:param deadline_s: on the loop's clock"""
+        await self.following.close()
+        if self.duty is not None:
+            self.duty.cancel()
+        await self.platform.close()
+        self.saving.close()
--- /dev/null
+++ b/vetchusher/hive/paths.py
@@ -0,0 +1,256 @@
+"""Connections between the system's processes: frames of protobuf, questions with deadlines, letters without.
+
+`Paths` owns every connection: those it opened, one a fellow, and those it accepted.  Each ends in
+`Channel.connection_lost`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+from google.protobuf.message import DecodeError
+
+from vetchusher.events import Event, Note
+from vetchusher.waggle import wire_pb2 as wire
+
+MOST_FRAME = 20 * 1024 * 1024
+MOST_WAITING = 8 * 1024 * 1024  # bytes written to one fellow and not yet sent; what comes then is dropped
+MOST_ACCEPTED = 1024
+CONNECT_S = 1.0
+CONNECT_PAUSE_S = 0.2  # after a connection that failed
+LETTER_S = 0.7  # a letter that has waited so long for a connection is stale
+SILENT_S = 1.2  # a connection on which a question timed out and nothing has come for so long is given up
+UNSENT_MS = 1_500  # bytes that no acknowledgement has come for: the path is cut
+
+
+def trim(sock: socket.socket) -> None:
+    """Danger: behind a cut a connection hangs for minutes unless it is told how long to wait."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNSENT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
+class Channel(asyncio.Protocol):
+    """One connection: bytes in, frames out of them, and back."""
+
+    def __init__(self, paths: Paths, fellow: str = "") -> None:
+        self.paths = paths
+        self.fellow = fellow  # ip of whom this process connected to; empty on an accepted connection
+        self.transport: asyncio.Transport | None = None
+        self.buffer = bytearray()
+        self.heard_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.heard_at = self.paths.loop.time()
+        trim(transport.get_extra_info("socket"))
+        self.paths.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.paths.closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = self.paths.loop.time()
+        self.buffer += data
+        while len(self.buffer) >= 4:
+            size = int.from_bytes(self.buffer[:4], "big")
+            if size > MOST_FRAME:
+                self.drop()
+                return
+            if len(self.buffer) < 4 + size:
+                return
+            raw = bytes(self.buffer[4 : 4 + size])
+            del self.buffer[: 4 + size]
+            try:
+                frame = wire.Frame.FromString(raw)
+            except DecodeError:
+                self.paths.note(Note(Event.NEWS_UNUSABLE, {"fellow": self.fellow or "accepted"}))
+                self.drop()
+                return
+            self.paths.received(frame, self)
+
+    def write(self, frame: wire.Frame) -> bool:
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if self.transport.get_write_buffer_size() > MOST_WAITING:
+            return False
+        raw = frame.SerializeToString()
+        self.paths.bytes_out += len(raw) + 4
+        self.transport.write(len(raw).to_bytes(4, "big") + raw)
+        return True
+
+    def reply(self, asked: wire.Frame, answer: wire.Frame) -> None:
+        answer.call, answer.reply = asked.call, True
+        self.paths.sign(answer)
+        self.write(answer)
+
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Fellow:
+    """The way to one other process: its connection, or letters that wait for one."""
+
+    def __init__(self) -> None:
+        self.channel: Channel | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.again_at = 0.0
+        self.letters: deque[tuple[float, wire.Frame]] = deque(maxlen=64)
+
+
+class Paths:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        ip: str,
+        zone: str,
+        port: int,
+        serve: Callable[[wire.Frame, Channel], None],
+        note: Callable[[Note], None],
+    ) -> None:
+        """:param serve: takes each frame that is no answer; answers with `Channel.reply`"""
+        self.loop = loop
+        self.ip, self.zone, self.port = ip, zone, port
+        self.serve, self.note = serve, note
+        self.fellows: dict[str, Fellow] = {}
+        self.accepted: set[Channel] = set()
+        self.calls: dict[int, tuple[asyncio.Future[wire.Frame | None], Channel | None]] = {}
+        self.next_call = 1
+        self.bytes_out = 0
+        self.server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        self.server = await self.loop.create_server(
+            lambda: Channel(self), self.ip, self.port, reuse_address=True, backlog=512
+        )
+
+    async def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for fellow in self.fellows.values():
+            if fellow.connecting is not None:
+                fellow.connecting.cancel()
+        for channel in [*self.accepted, *(f.channel for f in self.fellows.values() if f.channel)]:
+            if channel.transport is not None:
+                channel.transport.close()
+
+    def sign(self, frame: wire.Frame) -> None:
+        frame.sender, frame.zone = self.ip, self.zone
+
+    # -- connections ------------------------------------------------------------------
+
+    def opened(self, channel: Channel) -> None:
+        if channel.fellow:
+            return
+        if len(self.accepted) >= MOST_ACCEPTED:
+            channel.drop()
+            return
+        self.accepted.add(channel)
+
+    def closed(self, channel: Channel) -> None:
+        self.accepted.discard(channel)
+        fellow = self.fellows.get(channel.fellow)
+        if fellow is not None and fellow.channel is channel:
+            fellow.channel = None
+        for number, (future, way) in list(self.calls.items()):
+            if way is channel and not future.done():
+                del self.calls[number]
+                future.set_result(None)
+
+    def fellow(self, ip: str) -> Fellow:
+        return self.fellows.setdefault(ip, Fellow())
+
+    def keep(self, ips: set[str]) -> None:
+        """Drop the ways to those that are no longer named by anybody."""
+        for ip in self.fellows.keys() - ips:
+            fellow = self.fellows.pop(ip)
+            if fellow.connecting is not None:
+                fellow.connecting.cancel()
+            if fellow.channel is not None:
+                fellow.channel.drop()
+
+    def reach(self, ip: str) -> Channel | None:
+        """The connection to a fellow; where there is none, one is begun."""
+        fellow = self.fellow(ip)
+        if fellow.channel is not None:
+            return fellow.channel
+        if fellow.connecting is None and self.loop.time() >= fellow.again_at:
+            fellow.connecting = self.loop.create_task(self.connect(ip, fellow))
+        return None
+
+    async def connect(self, ip: str, fellow: Fellow) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, channel = await self.loop.create_connection(
+                    lambda: Channel(self, ip), ip, self.port, local_addr=(self.ip, 0)
+                )
+        except (OSError, TimeoutError):
+            fellow.again_at = self.loop.time() + CONNECT_PAUSE_S
+            fellow.letters.clear()
+            return
+        finally:
+            fellow.connecting = None
+        fellow.channel = channel
+        now = self.loop.time()
+        while fellow.letters:
+            stale_at, frame = fellow.letters.popleft()
+            if now < stale_at:
+                channel.write(frame)
+
+    # -- letters and questions ----------------------------------------------------------
+
+    def tell(self, ip: str, frame: wire.Frame) -> None:
+        """Send without waiting for anything; it may be lost."""
+        self.sign(frame)
+        channel = self.reach(ip)
+        if channel is not None:
+            channel.write(frame)
+        else:
+            self.fellow(ip).letters.append((self.loop.time() + LETTER_S, frame))
+
+    async def ask(self, ip: str, frame: wire.Frame, patience_s: float) -> wire.Frame | None:
+        """The answer, or nothing: no connection, none in time."""
+        end = self.loop.time() + patience_s
+        channel = self.reach(ip)
+        if channel is None:
+            task = self.fellow(ip).connecting
+            if task is None:
+                return None
+            await asyncio.wait([task], timeout=patience_s)
+            channel = self.fellow(ip).channel
+            if channel is None:
+                return None
+        number, self.next_call = self.next_call, self.next_call + 1
+        frame.call = number
+        self.sign(frame)
+        future: asyncio.Future[wire.Frame | None] = self.loop.create_future()
+        self.calls[number] = (future, channel)
+        try:
+            if not channel.write(frame):
+                return None
+            async with asyncio.timeout_at(end):
+                return await future
+        except TimeoutError:
+            if self.loop.time() - channel.heard_at > SILENT_S:
+                self.note(Note(Event.FELLOW_LOST, {"fellow": ip}))
+                channel.drop()
+            return None
+        finally:
+            self.calls.pop(number, None)
+
+    def received(self, frame: wire.Frame, channel: Channel) -> None:
+        if not frame.reply:
+            self.serve(frame, channel)
+            return
+        future, _ = self.calls.get(frame.call, (None, None))
+        if future is not None and not future.done():
+            future.set_result(frame)
--- /dev/null
+++ b/vetchusher/hive/process.py
@@ -0,0 +1,178 @@
+"""One process of the system: what its settings ask for, put together, run, and taken apart in order."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Protocol
+
+import uvloop
+from returns.result import Failure, Success
+
+from vetchusher.events import Event, Note
+from vetchusher.settings.node import NodeSettings, read_node
+from vetchusher.waggle import wire_pb2 as wire
+
+from .log import write
+from .paths import Channel, Paths
+
+LOOK_S = 1.0  # between two looks at the settings file, which may change without a signal
+END_S = 0.4  # of the grace: kept for taking things apart
+
+
+class Part(Protocol):
+    """What a process does beside the paths between processes."""
+
+    def serve(self, frame: wire.Frame, channel: Channel) -> None: ...
+
+    async def run(self) -> None: ...
+
+    def reseed(self, node: NodeSettings) -> None: ...
+
+    def leave(self) -> None: ...
+
+    async def close(self, deadline_s: float) -> None: ...
+
+
+class Door(Protocol):
+    def open(self) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+def steady_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Process:
+    def __init__(self, loop: asyncio.AbstractEventLoop, node: NodeSettings, path: str) -> None:
+        self.loop, self.node, self.path = loop, node, path
+        self.rng = random.Random(int.from_bytes(os.urandom(8), "big"))
+        self.note: Callable[[Note], None] = write
+        self.paths = Paths(loop, node.ip_address, node.zone, node.internal_ports[0], self.serve, self.note)
+        self.parts: list[Part] = []
+        self.doors: list[Door] = []
+        self.stop = asyncio.Event()
+        self.seen = self.look()
+
+    def serve(self, frame: wire.Frame, channel: Channel) -> None:
+        for part in self.parts:
+            part.serve(frame, channel)
+
+    async def begin(self) -> str:
+        """Put together what the settings ask for; a line if that cannot be done."""
+        node = self.node
+        if node.data_directory:
+            fault = await self.begin_keeper()
+            if fault:
+                return fault
+        if "edge" in node.serves:
+            from .forager import Forager
+
+            forager = Forager(self.loop, node, self.paths, self.rng, steady_us, self.note)
+            self.parts.append(forager)
+            await forager.open()
+        await self.paths.open()
+        return ""
+
+    async def begin_keeper(self) -> str:
+        from vetchusher.comb import Store
+
+        from .keeper import Keeper
+        from .orders import ControlDoor, DirectoryDoor
+
+        node = self.node
+        opened = Store.open(node.data_directory)
+        if isinstance(opened, Failure):
+            return opened.failure().text
+        store = opened.unwrap()
+        loaded = store.load()
+        kept, first_start = None, node.first_start
+        match loaded:
+            case Success(found):
+                kept = found
+            case Failure(fault):
+                # What cannot be read whole is forgotten: this machine votes for nothing until it has learnt.
+                self.note(Note(Event.STORE_FAILED, {"why": fault.text}))
+                first_start = False
+        if not first_start:
+            node = replace(node, first_start=False)
+        keeper = Keeper(self.loop, node, self.paths, store, kept, self.rng, steady_us, self.note)
+        self.parts.append(keeper)
+        if node.listen.control is not None:
+            self.doors.append(ControlDoor(keeper.settle, node.listen.control))
+        if node.listen.directory is not None:
+            self.doors.append(DirectoryDoor(keeper.settle, node.listen.directory))
+        for door in self.doors:
+            door.open()
+        return ""
+
+    async def run(self) -> int:
+        fault = await self.begin()
+        if fault:
+            print(fault, file=sys.stderr)
+            return 2
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.read_again)
+        self.note(
+            Note(Event.STARTED, {"node": self.node.node_name, "serves": ",".join(sorted(self.node.serves))})
+        )
+        tasks = [self.loop.create_task(part.run()) for part in self.parts]
+        tasks.append(self.loop.create_task(self.watch_settings()))
+        await self.stop.wait()
+        self.note(Note(Event.STOPPING))
+        end = self.loop.time() + max(0.5, self.node.bounds.grace_s - END_S)
+        for part in self.parts:
+            part.leave()
+        await asyncio.gather(*(part.close(end) for part in self.parts))
+        for door in self.doors:
+            await door.close()
+        for task in tasks:
+            task.cancel()
+        await self.paths.close()
+        self.note(Note(Event.STOPPED))
+        return 0
+
+    # -- settings that change ---------------------------------------------------------------
+
+    def look(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return 0, 0
+        return found.st_mtime_ns, found.st_size
+
+    async def watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if self.look() != self.seen:
+                self.read_again()
+
+    def read_again(self) -> None:
+        """Take new seeds from the settings file; one that cannot be used changes nothing."""
+        self.seen = self.look()
+        match read_node(self.path):
+            case Success(node):
+                self.node = node
+                for part in self.parts:
+                    part.reseed(node)
+                self.note(Note(Event.SETTINGS_READ_AGAIN))
+            case Failure(fault):
+                self.note(Note(Event.SETTINGS_UNUSABLE, {"why": fault.text}))
+
+
+def run(settings: NodeSettings, path: str) -> int:
+    """Run one process until it is asked to stop; its exit code."""
+
+    async def main() -> int:
+        return await Process(asyncio.get_running_loop(), settings, path).run()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main())
--- /dev/null
+++ b/vetchusher/hive/saving.py
@@ -0,0 +1,51 @@
+"""Writes what the control state wants on disk, in a thread: a disk that hangs holds up nothing else."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from returns.result import Success
+
+from vetchusher.comb import Kept, Store
+from vetchusher.events import Event, Note
+
+
+class Saving:
+    """Owner of the store while the process runs.  Records are whole: of several that wait the last is written."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        store: Store,
+        saved: Callable[[int, bool], None],
+        note: Callable[[Note], None],
+    ) -> None:
+        """:param saved: is told each token, and whether its record is on the disk"""
+        self.loop, self.store, self.saved, self.note = loop, store, saved, note
+        self.thread = ThreadPoolExecutor(1, "comb")
+        self.waiting: list[tuple[int, Kept]] = []
+        self.writing: asyncio.Task[None] | None = None
+
+    def save(self, token: int, kept: Kept) -> None:
+        self.waiting.append((token, kept))
+        if self.writing is None:
+            self.writing = self.loop.create_task(self.write())
+
+    async def write(self) -> None:
+        try:
+            while self.waiting:
+                tokens, kept = [token for token, _ in self.waiting], self.waiting[-1][1]
+                self.waiting.clear()
+                outcome = await self.loop.run_in_executor(self.thread, self.store.save, kept)
+                good = isinstance(outcome, Success)
+                if not good:
+                    self.note(Note(Event.STORE_FAILED, {"why": outcome.failure().text}))
+                for token in tokens:
+                    self.saved(token, good)
+        finally:
+            self.writing = None
+
+    def close(self) -> None:
+        self.thread.shutdown(wait=False)
--- a/vetchusher/scouts/reader.py
+++ b/vetchusher/scouts/reader.py
@@ -1,4 +1,4 @@
-"""From the platform's list to rows: what is gone, whose a cold server is, and the rows read back at an ingress.
+"""From the platform's list to rows: what is gone, whose a cold server is; and back at an ingress.
 
 The one reader of the list is whoever holds the duty; it is made anew with each holding.
 """
@@ -47,8 +47,8 @@
 
 
 def read_page(raw: bytes) -> Result[Page, Fault]:
-    """One page of `GET /instances`.  A page of which any entry cannot be read is not used: what is missing from a
-    list counts as gone."""
+    """One page of `GET /instances`.  A page of which any entry cannot be read is not used: what is missing
+    from a list counts as gone."""
     try:
         tree = json.loads(raw)
         columns, rows = tree["instances"]["columns"], tree["instances"]["rows"]
--- a/vetchusher/settings/node.py
+++ b/vetchusher/settings/node.py
@@ -139,6 +139,14 @@
     bounds: Bounds = Bounds()
     cloud_api: CloudApi | None = None
 
+    @property
+    def memory_mb(self) -> int:
+        return self.limits.memory_mb
+
+    @property
+    def file_descriptors(self) -> int:
+        return self.limits.file_descriptors
+
 
 def read_node(path: str) -> Result[NodeSettings, Fault]:
     """The settings in the file, or `BAD_SETTINGS` with one line that names the file and the place."""
--- a/vetchusher/waggle/follower.py
+++ b/vetchusher/waggle/follower.py
@@ -50,7 +50,7 @@
 
 
 class Follower:
-    """Owner of the contacts: seeds, and the members that the newest answer with a majority behind it names."""
+    """Owner of the contacts: seeds, and the members that the newest answer in force names."""
 
     def __init__(self, seeds: Iterable[str], sources: Mapping[str, Ledger], me: str = "") -> None:
         """:param me: own ip where this is itself a core machine: it asks the others only"""
--- a/vetchusher/waggle/ledger.py
+++ b/vetchusher/waggle/ledger.py
@@ -1,7 +1,7 @@
-"""Rows of one source with the stamps of their last changes: whoever reads pulls what changed since its own stamp.
+"""Rows of one source with the stamps of their last changes: a reader pulls what changed since its own.
 
-A stamp is (epoch, seq), compared in that order.  A delta is told from `floor` on: whatever is older, or may hold
-rows of which this ledger never heard, gets all rows.
+A stamp is (epoch, seq), compared in that order.  A delta is told from `floor` on: whatever is older, or may
+hold rows of which this ledger never heard, gets all rows.
 """
 
 from __future__ import annotations
@@ -54,8 +54,8 @@
     def publish(self, stamp: Stamped, rows: Mapping[str, bytes]) -> bool:
         """All rows as they stand under a higher stamp; False if it is not higher.
 
-        Danger: between two stamps that do not follow each other rows may have changed and changed back, which a
-        comparison of the two does not show to readers of the stamps between: from here on those get all rows.
+        Danger: between two stamps that do not follow each other rows may have changed and changed back, which
+        a comparison of the two does not show: readers of the stamps between get all rows.
         """
         if stamp <= self.stamp:
             return False
@@ -87,7 +87,7 @@
         return news
 
     def take(self, news: wire.SourceNews) -> bool:
-        """Merge what a fellow told; False where it is not newer, or a delta that begins after what stands here."""
+        """Merge what a fellow told; False where it is not newer, or a delta that begins after this stamp."""
         stamp, base = stamp_of(news.stamp), stamp_of(news.base)
         if stamp <= self.stamp or (not news.whole and base > self.stamp):
             return False
@@ -113,7 +113,7 @@
         self.rows[key] = Kept(value, stamp)
 
     def _strike(self, key: str, stamp: Stamped) -> None:
-        """Danger: names of what is gone would grow for ever; the oldest go, and with them the deltas from before."""
+        """Danger: names of what is gone would grow for ever; the oldest go, and with them their deltas."""
         self.rows.pop(key, None)
         self.gone.pop(key, None)
         self.gone[key] = stamp
