--- /dev/null
+++ b/tests/test_foragers.py
@@ -0,0 +1,329 @@
+"""A request's way without sockets: the table of claims, stories of one request, and the choice of server."""
+
+import random
+from dataclasses import replace
+
+from returns.result import Failure
+from testtools import TestCase
+
+from vetchusher.foragers import Choice, Ground, Head, RouteTable, Seen, judge
+from vetchusher.foragers.claims import seen_of, what_next
+from vetchusher.foragers.request import Answer, Cancel, Refuse, Send, WakeAt
+from vetchusher.foragers.routes import allowed_regions
+from vetchusher.kinds import Kind
+from vetchusher.scouts.server import Server
+from vetchusher.settings.configuration import ClientLimits, Configuration, Route, RouteType, Service, Tenant
+
+S = 1_000_000
+ZONES = {"gulf-a": "gulf", "gulf-b": "gulf", "delta-a": "delta"}
+
+
+def route(name, kind=RouteType.SAFE, **changed):
+    given = {"public": False, "home_regions": frozenset(), "targets": (("svc", 1.0),), "max_attempts": 2}
+    given |= {"host": "a.example", "path_prefix": f"/{name}/", "timeout_ms": 2000, "target_ms": 500}
+    return Route(name=name, route_type=kind, priority=1, **(given | changed))
+
+
+def tenant(name, *keys, rate=0.0, homes=()):
+    return Tenant(name, keys, None, rate, rate, frozenset(homes))
+
+
+def configuration(*routes, tenants=()):
+    services = {"svc": Service("svc", "/health", 100, 3.0, 10.0)}
+    return Configuration(1, routes, services, ClientLimits(), {t.name: t for t in tenants}, bool(tenants))
+
+
+def server(name, zone="gulf-a", **changed):
+    return replace(Server(name, "svc", f"{name}:80", zone, capacity=4), **changed)
+
+
+class Purse:
+    """Tally and budget in one: it says how often it was asked."""
+
+    def __init__(self, quota=1000, extra=1000):
+        self.quota, self.extra, self.firsts = quota, extra, 0
+
+    def admit(self, now, tenant):
+        self.quota -= 1
+        return self.quota >= 0
+
+    def first(self, now, service):
+        self.firsts += 1
+
+    def may(self, now, service):
+        self.extra -= 1
+        return self.extra >= 0
+
+
+class Scene:
+    """An ingress's ground, and one request on it at a time."""
+
+    def __init__(self, *servers, conf=None, purse=None, node="edge-1"):
+        choice = Choice(random.Random(3), node, "gulf", ZONES)
+        self.purse = purse or Purse()
+        self.ground = Ground(choice, self.purse, self.purse, random.Random(4), fresh=True)
+        self.choice = choice
+        self.ground.configure(conf or configuration(route("safe"), route("once", RouteType.UNSAFE)))
+        choice.servers(servers)
+
+    def judge(self, target="/safe/1", now=0, **headers):
+        given = {"Host": "A.example:80", "X-Vetchusher-Attempt-Id": "id-1"}
+        given |= {name.replace("_", "-"): value for name, value in headers.items()}
+        return judge(self.ground, Head("GET", target, list(given.items()), now))
+
+    def request(self, *told, **headers):
+        return self.judge(*told, **headers).unwrap()
+
+
+def kinds(acts):
+    """The acts in short: who it is sent to, or how it ends."""
+    shown = {Send: lambda a: a.server.instance, Refuse: lambda a: a.fault.kind, Answer: lambda a: "answer"}
+    shown |= {Cancel: lambda a: f"cancel {a.number}", WakeAt: lambda a: "wake"}
+    return [shown[type(act)](act) for act in acts]
+
+
+class Claims(TestCase):
+    def test_what_was_seen_and_what_may_follow(self):
+        refuse, fail, answer = Kind.NEVER_RAN, Kind.MAY_HAVE_RUN, None
+        table = {  # seen: (again, otherwise) for what is repeatable, for what is not
+            Seen.NO_CONNECTION: ((True, refuse), (True, refuse)),
+            Seen.NOT_WRITTEN: ((True, refuse), (True, refuse)),
+            Seen.NOT_EXECUTED: ((True, refuse), (True, refuse)),
+            Seen.MISDIRECTED: ((True, refuse), (True, refuse)),
+            Seen.RESET: ((True, fail), (False, fail)),
+            Seen.SILENT: ((True, fail), (False, fail)),
+            Seen.GARBLED: ((True, fail), (False, fail)),
+            Seen.CANCELLED: ((True, fail), (False, fail)),
+            Seen.SERVER_ERROR: ((True, answer), (False, answer)),
+            Seen.ANSWERED: ((False, answer), (False, answer)),
+        }
+        self.assertEqual(set(Seen), set(table))
+        for seen, expected in table.items():
+            found = tuple((n.again, n.otherwise) for n in (what_next(seen, True), what_next(seen, False)))
+            self.assertEqual(expected, found, seen)
+
+    def test_what_an_answer_shows(self):
+        for status, not_executed, ours, sealed, seen in (
+            (200, False, True, True, Seen.ANSWERED),
+            (200, False, True, False, Seen.GARBLED),
+            (200, True, True, True, Seen.NOT_EXECUTED),
+            (404, False, True, False, Seen.ANSWERED),
+            (500, False, True, False, Seen.SERVER_ERROR),
+            (504, False, True, False, Seen.SERVER_ERROR),
+            (503, True, True, False, Seen.NOT_EXECUTED),
+            (503, False, True, True, Seen.GARBLED),
+            (429, False, True, False, Seen.GARBLED),
+            (408, False, True, False, Seen.GARBLED),
+            (421, False, True, False, Seen.MISDIRECTED),
+            (421, True, False, False, Seen.GARBLED),
+            (503, True, False, False, Seen.GARBLED),
+        ):
+            self.assertEqual(seen, seen_of(status, not_executed, ours, sealed), (status, not_executed, ours))
+
+
+class Routes(TestCase):
+    def test_longest_prefix_of_the_host(self):
+        table = RouteTable(
+            configuration(
+                route("all", path_prefix="/"),
+                route("a"),
+                route("ab", path_prefix="/a/b/"),
+                route("other", host="b.example", path_prefix="/a/"),
+            )
+        )
+        for host, target, name in (
+            ("a.example", "/a/b/c", "ab"),
+            ("A.EXAMPLE:8388", "/a/b", "a"),
+            ("a.example", "/a?/a/b/", "all"),
+            ("b.example", "/a/?x", "other"),
+            ("b.example", "/", None),
+            ("c.example", "/a/", None),
+        ):
+            found = table.find(host, target)
+            self.assertEqual(name, found.name if found else None, (host, target))
+
+    def test_homes_of_route_and_tenant_both_bind(self):
+        at = route("r", home_regions=frozenset({"gulf", "delta"}))
+        self.assertIsNone(allowed_regions(route("r"), tenant("t")))
+        self.assertEqual({"gulf", "delta"}, allowed_regions(at, tenant("t")))
+        self.assertEqual({"delta"}, allowed_regions(at, tenant("t", homes=["delta", "isle"])))
+        self.assertEqual(frozenset(), allowed_regions(at, tenant("t", homes=["isle"])))
+
+
+class Stories(TestCase):
+    def test_one_request_from_try_to_try(self):
+        """Each line: route, servers, extra tries allowed; then what is seen and what follows it."""
+        full, reset, refused = Seen.NOT_EXECUTED, Seen.RESET, Seen.NO_CONNECTION
+        for target, names, extra, story in (
+            ("/safe/1", "ab", 9, [(Seen.ANSWERED, "answer")]),
+            ("/safe/1", "ab", 9, [(reset, "again"), (Seen.ANSWERED, "answer")]),
+            ("/safe/1", "abc", 9, [(reset, "again"), (full, Kind.MAY_HAVE_RUN)]),
+            ("/safe/1", "abc", 9, [(full, "again"), (full, Kind.NEVER_RAN)]),
+            ("/safe/1", "a", 9, [(reset, Kind.MAY_HAVE_RUN)]),
+            ("/safe/1", "ab", 0, [(reset, Kind.MAY_HAVE_RUN)]),
+            ("/safe/1", "ab", 0, [(Seen.SERVER_ERROR, "answer")]),
+            ("/safe/1", "ab", 9, [(Seen.SERVER_ERROR, "again"), (reset, "answer")]),
+            ("/once/1", "ab", 9, [(reset, Kind.MAY_HAVE_RUN)]),
+            ("/once/1", "ab", 9, [(Seen.SERVER_ERROR, "answer")]),
+            ("/once/1", "ab", 9, [(full, "again"), (reset, Kind.MAY_HAVE_RUN)]),
+            ("/once/1", "ab", 0, [(full, Kind.NEVER_RAN)]),
+            # what never reached a server is no extra try, yet there is an end of it
+            ("/once/1", "abcd", 0, [(refused, "again"), (refused, "again"), (full, Kind.NEVER_RAN)]),
+            ("/safe/1", "abcdef", 9, [(refused, "again")] * 3 + [(refused, Kind.NEVER_RAN)]),
+        ):
+            scene = Scene(*map(server, names), purse=Purse(extra=extra))
+            request = scene.request(target)
+            sent = [a for a in request.start(0) if isinstance(a, Send)]
+            for number, (seen, expected) in enumerate(story):
+                (act,) = request.ended(1000, number, seen)
+                if isinstance(act, Send):
+                    sent.append(act)
+                self.assertEqual(expected, "again" if isinstance(act, Send) else kinds([act])[0], story)
+            self.assertEqual(len(sent), len({s.server.instance for s in sent}), story)
+            self.assertEqual(0, sum(s.out for s in scene.choice.standings.values()))
+
+    def test_late_one_gets_a_second_copy_and_the_first_good_answer_wins(self):
+        """
+        ingress            a            b
+          | --- 0 --------->|            |
+          | (late) --- 1 ---+----------->|
+          |                 |  reset ----|      the other one is still out
+          | --------------->|(none: of two attempts both are made)
+          |<---- 200 -------|
+        """
+        scene = Scene(server("a"), server("b"))
+        request = scene.request()
+        first, wake = request.start(0)
+        self.assertEqual((0, 664_000), (first.number, wake.at))
+        (second,) = request.late(wake.at)
+        self.assertNotEqual(first.server, second.server)
+        self.assertEqual([], request.late(wake.at + 1))
+        self.assertEqual([], request.ended(S, 1, Seen.RESET))
+        self.assertEqual(["answer"], kinds(request.ended(S, 0, Seen.ANSWERED)))
+
+        request = scene.request(now=2 * S)
+        request.start(2 * S)
+        request.late(3 * S)
+        self.assertEqual(["cancel 0", "answer"], kinds(request.ended(3 * S, 1, Seen.ANSWERED)))
+        self.assertEqual([], request.ended(3 * S, 0, Seen.ANSWERED))
+
+    def test_what_never_had_a_chance(self):
+        conf = configuration(
+            route("safe"), route("open", public=True), tenants=[tenant("t", "k-1", rate=5.0, homes=["delta"])]
+        )
+        scene = Scene(server("a"), conf=conf, purse=Purse(quota=0))
+        key = {"Authorization": "bearer  k-1"}
+        for target, headers, kind in (
+            ("/none/1", key, Kind.NO_ROUTE),
+            ("/safe/1", {}, Kind.NO_KEY),
+            ("/safe/1", {"Authorization": "Bearer k-2"}, Kind.NO_KEY),
+            ("/safe/1", {**key, "X-Vetchusher-Attempt-Id": ""}, Kind.UNREADABLE),
+            ("*", key, Kind.UNREADABLE),
+        ):
+            judged = scene.judge(target, **headers)
+            self.assertEqual(kind, judged.failure().kind if isinstance(judged, Failure) else judged)
+        self.assertEqual(["a", "wake"], kinds(scene.request("/open/1").start(0)))
+        self.assertEqual([Kind.NO_SERVER], kinds(scene.request(**key).start(0)))  # its homes have none
+        self.assertEqual((0, 1), (scene.purse.quota, scene.purse.firsts))  # nothing was counted for it
+        scene.choice.servers([server("b", "delta-a")])
+        (over,) = scene.request(**key).start(0)
+        self.assertEqual((Kind.OVER_QUOTA, S), (over.fault.kind, over.fault.retry_after_us))
+        scene.ground.fresh = False
+        for target, headers in (("/none/1", key), ("/safe/1", {})):
+            fault = scene.judge(target, **headers).failure()
+            self.assertEqual((503, True), (fault.status, fault.retry_after_us > 0))
+
+    def test_time_left_is_the_least_of_both_and_the_way_is_taken_off(self):
+        scene = Scene(server("a"))
+        for told, deadline, header in (
+            ("900", 892_000, "889"),
+            ("9000", 1_992_000, "1989"),
+            ("x", 1_992_000, "1989"),
+        ):
+            send = scene.request(X_Vetchusher_Time_Remaining=told).start(0)[0]
+            self.assertEqual(deadline, send.deadline)
+            self.assertEqual([header], [v for n, v in send.headers if n == "X-Vetchusher-Time-Remaining"])
+        request = scene.request(X_Vetchusher_Time_Remaining="100")
+        self.assertEqual([Kind.NO_SERVER], kinds(request.start(92_000)))
+
+
+class Choices(TestCase):
+    def count(self, choice, times=60, now=0, allowed=None):
+        found = [choice.choose(now, "svc", allowed) for _ in range(times)]
+        return {one.instance if one else None for one in found}
+
+    def test_own_region_first_then_the_nearest_with_room(self):
+        scene = Scene(
+            server("a"), server("b", "gulf-b"), server("far", "delta-a"), server("d", draining=True)
+        )
+        choice = scene.choice
+        self.assertEqual({"a", "b"}, self.count(choice))
+        self.assertEqual({"far"}, self.count(choice, allowed=frozenset({"delta"})))
+        for _ in range(4):
+            choice.sent(0, "a")
+            choice.sent(0, "b")
+        self.assertEqual({"far"}, self.count(choice))
+        self.assertEqual({None}, self.count(choice, allowed=frozenset({"gulf"})))
+        choice.ended(0, "a", Seen.MISDIRECTED, 1000)
+        self.assertEqual({"far"}, self.count(choice))
+        choice.ended(0, "b", Seen.ANSWERED, 1000)
+        self.assertEqual({"b"}, self.count(choice))
+        choice.evacuated(frozenset({"gulf-b", "delta-a"}), 0)
+        self.assertEqual({None}, self.count(choice))
+
+    def test_full_ones_get_less_and_slow_ones_are_avoided(self):
+        choice = Scene(server("a", capacity=8), server("b", capacity=8)).choice
+        for _ in range(20):
+            choice.sent(0, "a")
+            choice.ended(0, "a", Seen.ANSWERED, 400_000)
+            choice.sent(0, "b")
+            choice.ended(0, "b", Seen.ANSWERED, 20_000)
+        self.assertEqual({"b"}, self.count(choice))
+        for _ in range(8):
+            choice.sent(0, "b")
+        choice.ended(0, "b", Seen.NOT_EXECUTED, 1000)
+        self.assertEqual({"a"}, self.count(choice))
+        for _ in range(40):
+            choice.sent(0, "b")
+            choice.ended(0, "b", Seen.RESET, 1000, prompt=True)
+        self.assertEqual(1.0, choice.standings["b"].bound)
+
+    def test_cold_ones_are_for_their_keeper_and_slowly(self):
+        """
+        now      0 ..... 1 s ........................ 5 s        6 s .......... 11 s
+        cold     #####################################           evacuated ends, ###
+        keeper   (waits)  edge-1: 3 at once, 10 a second         edge-1 again
+        """
+        cold = server("c", cold_until=5 * S, keeper="edge-1", kept_from=S)
+        scene = Scene(cold, server("other", cold_until=5 * S, keeper="edge-2"))
+        choice = scene.choice
+        passed = {}
+        for now in range(0, 5 * S, 10_000):
+            if (found := choice.choose(now, "svc", None)) is not None:
+                choice.sent(now, found.instance)
+                choice.ended(now, found.instance, Seen.ANSWERED, 1000)
+                passed.setdefault(found.instance, []).append(now)
+        self.assertEqual({"c"}, set(passed))
+        self.assertTrue(passed["c"][0] == S and 40 <= len(passed["c"]) <= 44)
+        worst = max(sum(1 for b in passed["c"] if a <= b < a + S) for a in passed["c"])
+        self.assertTrue(worst <= 13, worst)
+        self.assertEqual("other", choice.choose(5 * S, "svc", None, {"c"}).instance)
+        choice.evacuated(frozenset({"gulf-a"}), 5 * S)
+        choice.evacuated(frozenset(), 6 * S)
+        self.assertEqual({"c"}, self.count(choice, now=11 * S - 1))
+        self.assertEqual("other", choice.choose(11 * S, "svc", None, {"c"}).instance)
+
+    def test_never_more_than_half_of_a_service_rests(self):
+        names = "abcdef"
+        choice = Scene(*map(server, names)).choice
+        notes = []
+        for round in range(30):
+            for name in names:
+                choice.sent(round * 1000, name)
+                notes.append(choice.ended(round * 1000, name, Seen.NO_CONNECTION, 1000))
+        self.assertEqual(3, len([note for note in notes if note]))
+        self.assertEqual(3, len(self.count(choice, now=30_000) - {None}))
+        self.assertEqual(6, len(self.count(choice, now=S)))  # the first rest is short
+        choice.sent(S, "a")
+        again = choice.ended(S, "a", Seen.NO_CONNECTION, 1000)
+        self.assertEqual(800, again.facts["for_ms"])  # the next one longer
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,323 @@
+"""The front of an ingress over loopback sockets, with stand-ins of servers that have their troubles."""
+
+import asyncio
+import itertools
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import uvloop
+from testtools import TestCase
+
+from vetchusher.emulator.messages import free_port
+from vetchusher.emulator.servers import StandIn
+from vetchusher.hive.front import Front
+from vetchusher.settings.configuration import ClientLimits, Configuration, Route, RouteType, Service, Tenant
+
+PATIENCE_S = 20.0  # only a test that has already failed waits this long
+HOST = "ficu95.example"
+
+
+@dataclass
+class Settings:
+    node_name: str = "edge-1"
+    region: str = "gulf"
+    zones: dict[str, str] = field(default_factory=lambda: {"gulf-a": "gulf", "delta-a": "delta"})
+    memory_mb: int = 64
+    file_descriptors: int = 1000
+
+
+class Open:
+    """A tally and a budget that allow everything."""
+
+    def admit(self, now, tenant):
+        return True
+
+    def first(self, now, service):
+        pass
+
+    def may(self, now, service):
+        return True
+
+
+def configuration(timeout_ms=4000, keyed=True):
+    def route(name, kind):
+        return Route(
+            name, HOST, f"/{name}/", kind, timeout_ms, 500, 1, (("svc", 1.0),), 3, False, frozenset()
+        )
+
+    routes = (
+        route("safe", RouteType.SAFE),
+        route("once", RouteType.UNSAFE),
+        route("big", RouteType.DOWNLOAD),
+    )
+    tenant = Tenant("huka270", ("key-1",), None, 0.0, 0.0, frozenset())
+    services = {"svc": Service("svc", "/health", 100, 3.0, 10.0)}
+    return Configuration(1, routes, services, ClientLimits(), {"huka270": tenant} if keyed else {}, keyed)
+
+
+@asynccontextmanager
+async def ingress(*servers, **changed):
+    loop = asyncio.get_running_loop()
+    front = Front(loop, Settings(), random.Random(7), Open(), Open(), lambda note: None)
+    port = free_port()
+    front.open("127.0.0.1", port)
+    front.configuration(configuration(**changed))
+    front.fresh(True)
+    for server in servers:
+        await server.open()
+    front.servers([server.row for server in servers])
+    try:
+        yield front, port
+    finally:
+        await front.close(front.now())
+        for server in servers:
+            await server.close()
+
+
+class Client:
+    """One connection; `ask` sends a request and returns status, headers in small letters, and body."""
+
+    ids = itertools.count(1)
+
+    def __init__(self, port):
+        self.port = port
+
+    async def __aenter__(self):
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return self
+
+    async def __aexit__(self, *_):
+        self.writer.close()
+
+    async def ask(self, start, body=b"", left=3000, **more):
+        self.id = f"id-{next(self.ids)}"
+        headers = {
+            "Host": HOST,
+            "X-Vetchusher-Attempt-Id": self.id,
+            "X-Vetchusher-Time-Remaining": str(left),
+            "Authorization": "Bearer key-1",
+        } | {name.replace("_", "-"): value for name, value in more.items()}
+        if body:
+            headers["Content-Length"] = str(len(body))
+        text = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        self.writer.write(f"{start} HTTP/1.1\r\n{text}\r\n".encode() + body)
+        return await self.answer(start.startswith("HEAD"))
+
+    async def chunks(self):
+        whole = b""
+        while size := int(await self.reader.readuntil(b"\r\n"), 16):
+            whole += (await self.reader.readexactly(size + 2))[:-2]
+        return whole
+
+    async def answer(self, bare=False):
+        raw = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        first, *lines = raw.rstrip().split("\r\n")
+        headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+        if bare or "content-length" not in headers:
+            return int(first.split()[1]), headers, b""
+        return int(first.split()[1]), headers, await self.reader.readexactly(int(headers["content-length"]))
+
+
+async def ask(port, start, body=b"", **more):
+    """On a connection of its own."""
+    async with Client(port) as client:
+        return await client.ask(start, body, **more)
+
+
+def scene(story):
+    """A test from a story on an event loop."""
+
+    def test(self):
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(asyncio.wait_for(story(self), PATIENCE_S))
+
+    test.__name__ = story.__name__
+    return test
+
+
+class Sockets(TestCase):
+    @scene
+    async def test_passes_on_what_is_meant_for_the_server_and_nothing_else(self):
+        server = StandIn("i-1")
+        async with ingress(server) as (_, port):
+            status, headers, body = await ask(
+                port,
+                "POST /once/a%2Fb?x=%20#y",
+                b"the body",
+                X_Vetchusher_Subscriber="someone-else",
+                X_Vetchusher_Target_Instance="i-9",
+                X_Own="kept",
+                X_Hop="dropped",
+                Connection="keep-alive, X-Hop, X-Vetchusher-Attempt-Id",
+                Accept_Encoding="identity",
+            )
+            self.assertEqual((200, b"the server's bytes"), (status, body))
+            self.assertTrue(headers["x-vetchusher-server-seal"].startswith("3e1b.id-"))
+            self.assertNotIn("content-encoding", headers)
+            arrival = server.arrivals[0]
+            self.assertEqual(
+                ("POST /once/a%2Fb?x=%20#y HTTP/1.1", b"the body"), (arrival.start, arrival.body)
+            )
+            expected = {
+                "Host": HOST,
+                "X-Own": "kept",
+                "Accept-Encoding": "identity",
+                "X-Vetchusher-Attempt-Id": headers["x-vetchusher-attempt-id"],
+                "X-Vetchusher-Target-Instance": "i-1",
+                "X-Vetchusher-Subscriber": "huka270",
+                "Content-Length": "8",
+            }
+            left = int(arrival.headers.pop("X-Vetchusher-Time-Remaining"))
+            self.assertTrue(2900 < left < 3000)
+            self.assertEqual(expected, arrival.headers)
+
+    @scene
+    async def test_what_may_run_once_never_runs_twice(self):
+        server, other = StandIn("i-1"), StandIn("i-2")
+        async with ingress(server, other) as (_, port):
+            statuses = []
+            for mood in (
+                "reset",
+                "refuse",
+                "full",
+                "junk",
+                "cut",
+                "unsealed",
+                "promise",
+                "nameless",
+                "error",
+            ):
+                server.moods, other.moods = [mood], [mood]
+                statuses.append((await ask(port, "POST /once/1", b"x"))[0])
+                server.moods, other.moods = [], []
+            # full: it never ran, so both were tried; error: the server's own answer
+            self.assertEqual([502, 502, 503, 502, 502, 502, 502, 502, 500], statuses)
+            self.assertEqual(1, max((server.runs + other.runs).values()))
+
+    @scene
+    async def test_what_may_be_repeated_is_served_elsewhere(self):
+        server, other = StandIn("i-1"), StandIn("i-2")
+        async with ingress(server, other) as (front, port):
+            for mood in (
+                "reset",
+                "refuse",
+                "full",
+                "junk",
+                "cut",
+                "unsealed",
+                "promise",
+                "nameless",
+                "error",
+            ):
+                for troubled in (server, other):
+                    troubled.moods = [mood]
+                status, _, body = await ask(port, "GET /safe/1")
+                server.moods = other.moods = []
+                self.assertIn(status, (500, 502, 503) if mood != "error" else (500,))
+                server.moods = [mood] * 9
+                self.assertEqual(200, (await ask(port, "GET /safe/1"))[0], mood)
+                server.moods = []
+                front.servers([])  # what was learned of them is forgotten
+                front.servers([server.row, other.row])
+
+    @scene
+    async def test_late_answer_of_another_request_is_skipped(self):
+        server = StandIn("i-1", moods=["again"])
+        async with ingress(server) as (_, port), Client(port) as client:
+            await client.ask("GET /safe/1")
+            await asyncio.sleep(0.04)  # it rests; the surplus comes while the next one is out
+            server.time_s = 0.2
+            status, headers, _ = await client.ask("GET /safe/2")
+            self.assertEqual((200, client.id), (status, headers["x-vetchusher-attempt-id"]))
+            self.assertEqual((1, 2), (server.connections, len(server.arrivals)))
+            await client.ask("GET /safe/3")
+            self.assertEqual(2, server.connections)  # one that gave too much is not kept
+
+    @scene
+    async def test_broken_download_looks_broken(self):
+        server = StandIn("i-1", body=b"z" * 3_000_000, moods=["ok", "chunked", "cut"])
+        async with ingress(server) as (_, port):
+            status, _, body = await ask(port, "GET /big/1")
+            self.assertEqual((200, len(server.body)), (status, len(body)))
+            async with Client(port) as client:
+                status, headers, _ = await client.ask("GET /big/2")
+                self.assertEqual("chunked", headers["transfer-encoding"])
+                self.assertEqual(server.body, await client.chunks())
+            with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+                await ask(port, "GET /big/3")
+
+    @scene
+    async def test_heads_and_bare_answers(self):
+        server = StandIn("i-1")
+        async with ingress(server) as (_, port), Client(port) as client:
+            status, headers, _ = await client.ask("HEAD /safe/1")
+            self.assertEqual((200, "18"), (status, headers["content-length"]))
+            self.assertEqual(
+                200, (await client.ask("GET /safe/2"))[0]
+            )  # nothing of the first one is left over
+
+    @scene
+    async def test_smuggling_is_refused(self):
+        server = StandIn("i-1")
+        inner = b"GET /safe/inner HTTP/1.1\r\nHost: ficu95.example\r\n\r\n"
+        head = f"POST /once/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Vetchusher-Attempt-Id: a\r\n".encode()
+        head += b"Authorization: Bearer key-1\r\n"
+        coded = b"Transfer-Encoding: chunked\r\n"
+        tries = [
+            head + b"Content-Length: 4\r\n" + coded + b"\r\n0\r\n\r\n" + inner,
+            head + b"Content-Length: 4\r\nContent-Length: 60\r\n\r\n" + inner,
+            head + b"Transfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\n" + inner,
+            head + coded + b"\r\n3;a=b\r\nabcd\r\n0\r\n\r\n" + inner,
+            head + b"Transfer-Encoding: xchunked\r\n\r\n" + inner,
+            head + b"X-A: b\r\n Content-Length: 4\r\n\r\n" + inner,
+            head + b"X-A: b\nTransfer-Encoding: chunked\r\n\r\n" + inner,
+            head + b"X-Vetchusher-Attempt-Id: b\r\nContent-Length: 1\r\n\r\nx",
+        ]
+        async with ingress(server) as (_, port):
+            for raw in tries:
+                async with Client(port) as client:
+                    client.writer.write(raw)
+                    got = await client.reader.read()
+                    self.assertEqual((b"400", 1), (got.split(b" ")[1], got.count(b"HTTP/1.")), raw)
+            self.assertEqual([], server.arrivals)
+
+    @scene
+    async def test_bodies_come_whole_in_chunks_or_on_demand(self):
+        server = StandIn("i-1")
+        async with ingress(server) as (front, port), Client(port) as client:
+            head = f"POST /once/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Vetchusher-Attempt-Id: a\r\n"
+            head += (
+                "Authorization: Bearer key-1\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n"
+            )
+            client.writer.write(head.encode())
+            self.assertEqual(100, (await client.answer())[0])
+            client.writer.write(b"3\r\nabc\r\n" + b"80000\r\n" + b"d" * 0x80000 + b"\r\n0\r\n\r\n")
+            self.assertEqual(200, (await client.answer())[0])
+            self.assertEqual(b"abc" + b"d" * 0x80000, server.arrivals[0].body)
+            self.assertNotIn("Expect", server.arrivals[0].headers)
+            self.assertEqual(0, front.held)
+            self.assertEqual(413, (await ask(port, "POST /once/2", Content_Length="99999999"))[0])
+
+    @scene
+    async def test_leaving_ends_what_is_open_first(self):
+        server = StandIn("i-1", time_s=0.3)
+        async with ingress(server) as (front, port):
+            waiting = asyncio.create_task(ask(port, "POST /once/1", b"x"))
+            while not server.at_work:
+                await asyncio.sleep(0.01)
+            await front.close(front.now() + 5_000_000)
+            status, headers, _ = await waiting
+            self.assertEqual((200, "close"), (status, headers["connection"]))
+
+    @scene
+    async def test_client_that_leaves_takes_its_attempt_along(self):
+        server = StandIn("i-1", time_s=5.0)
+        async with ingress(server) as (front, port):
+            waiting = asyncio.create_task(ask(port, "GET /safe/1"))
+            while not server.at_work:
+                await asyncio.sleep(0.01)
+            waiting.cancel()
+            while front.tries.attempts:
+                await asyncio.sleep(0.01)
+            self.assertEqual(0, front.choice.standings["i-1"].out)
--- /dev/null
+++ b/vetchusher/foragers/choice.py
@@ -0,0 +1,281 @@
+"""Which server gets a request, by what this ingress has seen of each itself.
+
+`Choice` owns one `Standing` for each server of the list as it was last told (`servers`), and one smoothed
+time for each service and region; both go when the list no longer names them.  All times are us on one steady
+clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+from vetchusher.events import Event, Note
+from vetchusher.scouts.server import Server
+from vetchusher.settings.configuration import Service
+
+from .claims import Seen
+
+COLD_BURST = 3.0  # requests that a cold server may get at once: what it is allowed in a second is more
+THAW_LAG_US = 2_000_000  # after an evacuation ends: until the list would tell which of its servers are cold
+SMOOTH = 0.15  # weight of the newest time
+FORGET_US = 5_000_000  # half of what sets a server's time apart from its service's is forgotten in this time
+FIRST_TIME_US = 50_000  # before anything was seen
+WAY_US = 60_000  # what a region not yet tried is taken to be farther than this one
+FAILURE_TIMES = 2.0  # a failure counts as that many usual times at least: quick failures must not attract
+CUT, GROW = 0.7, 0.2  # of the bound on requests out: when the server was full; for as many answers as are out
+QUEUE_PART = 0.5  # of the capacity: what a server queues beyond it, as far as is counted on
+FAILURES_IN_ROW = 3
+REST_US, MOST_REST_US = 400_000, 8_000_000
+GLANCES = 6  # draws before all are looked at
+
+_FULL = frozenset({Seen.NOT_EXECUTED})
+_FAILED = frozenset({Seen.RESET, Seen.GARBLED, Seen.SILENT, Seen.SERVER_ERROR})
+
+
+@dataclass(slots=True)
+class Standing:
+    """What is known of one server.
+
+    :param bound: requests that may be out there from here at once; at least 1
+    :param time_us: smoothed time from sending to the answer, the way included; 0: none yet
+    :param failures: in a row
+    """
+
+    server: Server
+    region: str
+    bound: float
+    out: int = 0
+    time_us: float = 0.0
+    timed_at: int = 0
+    failures: int = 0
+    rest_us: int = 0
+    rest_until: int = 0
+    dropped: bool = False  # it answered that another server has its address
+    tokens: float = COLD_BURST
+    tokens_at: int = 0
+
+
+class Choice:
+    """:param node: this ingress's name, by which rows name the keeper of a cold server
+    :param zones: the region of each zone
+    """
+
+    def __init__(self, rng: random.Random, node: str, region: str, zones: Mapping[str, str]) -> None:
+        self.rng = rng
+        self.node = node
+        self.region = region
+        self.zones = zones
+        self.services: Mapping[str, Service] = {}
+        self.standings: dict[str, Standing] = {}
+        self.places: dict[
+            str, dict[str, list[Standing]]
+        ] = {}  # by service and region: what may be used at all
+        self.means: dict[tuple[str, str], float] = {}  # smoothed times (us) by service and region
+        self.closed: frozenset[str] = frozenset()  # zones under evacuation
+        self.reopened: dict[
+            str, int
+        ] = {}  # by zone: when its last evacuation ended; as many as there are zones
+
+    def knows(self, instance: object) -> bool:
+        return instance in self.standings
+
+    def configure(self, services: Mapping[str, Service]) -> None:
+        self.services = services
+        for standing in self.standings.values():
+            standing.bound = min(standing.bound, self._most(standing.server))
+
+    def servers(self, servers: Iterable[Server]) -> None:
+        """Take the whole list; what is known of a server stays as long as the list names its instance."""
+        before, self.standings = self.standings, {}
+        for server in servers:
+            standing = before.get(server.instance)
+            if standing is None:
+                standing = Standing(server, self.zones.get(server.zone, ""), self._first_bound(server))
+            standing.server = server
+            self.standings[server.instance] = standing
+        self._place()
+
+    def evacuated(self, zones: frozenset[str], now: int) -> None:
+        for zone in self.closed - zones:
+            self.reopened[zone] = now
+        self.closed = zones
+        self._place()
+
+    def _place(self) -> None:
+        self.places = {}
+        for standing in self.standings.values():
+            server = standing.server
+            if not server.draining and server.zone not in self.closed:
+                regions = self.places.setdefault(server.service, {})
+                regions.setdefault(standing.region, []).append(standing)
+        self.means = {key: m for key, m in self.means.items() if key[1] in self.places.get(key[0], {})}
+
+    def choose(
+        self, now: int, service: str, allowed: frozenset[str] | None, exclude: Collection[str] = ()
+    ) -> Server | None:
+        """A server with room: warm ones of the own region, then its cold ones that are kept here, then those
+        of the region whose answers come soonest.
+
+        :param allowed: regions; none named at all: every region
+        :param exclude: instances that this request has been sent to
+        """
+        regions = {
+            name: found
+            for name, found in self.places.get(service, {}).items()
+            if allowed is None or name in allowed
+        }
+        near = regions.pop(self.region, None)
+        far = sorted(regions, key=lambda name: self._mean(service, name)) if regions else []
+        for some in ([near] if near else []) + [regions[name] for name in far]:
+            if (found := self._pair(now, some, exclude)) is not None:
+                return found.server
+            if (found := self._cold(now, some, exclude)) is not None:
+                return found.server
+        return None
+
+    def _pair(self, now: int, some: list[Standing], exclude: Collection[str]) -> Standing | None:
+        """Two at random among the usable ones, and the one that should answer sooner."""
+        first: Standing | None = None
+        for _ in range(GLANCES if len(some) > GLANCES else 0):
+            drawn = some[int(self.rng.random() * len(some))]
+            if drawn is not first and self._usable(now, drawn, exclude) and not self._is_cold(now, drawn):
+                if first is not None:
+                    return min(first, drawn, key=lambda s: self._cost(now, s))
+                first = drawn
+        fit = [s for s in some if self._usable(now, s, exclude) and not self._is_cold(now, s)]
+        if len(fit) > 1:
+            fit = self.rng.sample(fit, 2)
+        return min(fit, key=lambda s: self._cost(now, s), default=None)
+
+    def _cold(self, now: int, some: list[Standing], exclude: Collection[str]) -> Standing | None:
+        """A cold one that this ingress keeps and that may have one more now.
+
+        Danger: only the named keeper may send, and only at the allowed rate: what is allowed is meant for
+        all ingresses together.
+        """
+        for standing in some:
+            server = standing.server
+            if server.keeper != self.node or now < server.kept_from:
+                continue
+            if self._usable(now, standing, exclude) and self._is_cold(now, standing):
+                if self._tokens(now, standing) >= 1.0:
+                    return standing
+        return None
+
+    def _usable(self, now: int, standing: Standing, exclude: Collection[str]) -> bool:
+        return (
+            standing.out + 1 <= standing.bound
+            and now >= standing.rest_until
+            and not standing.dropped
+            and standing.server.instance not in exclude
+        )
+
+    def _is_cold(self, now: int, standing: Standing) -> bool:
+        server = standing.server
+        if now < server.cold_until:
+            return True
+        if (opened := self.reopened.get(server.zone)) is None:
+            return False
+        service = self.services.get(server.service)
+        return now < opened + int((service.cold_s if service else 0.0) * 1e6) + THAW_LAG_US
+
+    def _tokens(self, now: int, standing: Standing) -> float:
+        service = self.services.get(standing.server.service)
+        rate = service.cold_rate_s if service else 0.0
+        return min(COLD_BURST, standing.tokens + rate * max(0, now - standing.tokens_at) / 1e6)
+
+    def _mean(self, service: str, region: str) -> float:
+        known = self.means.get((service, region))
+        if known is not None:
+            return known
+        near = self.means.get((service, self.region), FIRST_TIME_US)
+        return near if region == self.region else near + WAY_US
+
+    def _cost(self, now: int, standing: Standing) -> float:
+        """What a request sent now may wait for: as many as are out there, and itself, one time each."""
+        mean = self._mean(standing.server.service, standing.region)
+        apart = standing.time_us - mean if standing.time_us else 0.0
+        kept: float = 0.5 ** ((now - standing.timed_at) / FORGET_US)
+        return (standing.out + 1) * (mean + apart * kept)
+
+    def sent(self, now: int, instance: str) -> None:
+        """A request goes there; `ended` is owed for it."""
+        standing = self.standings.get(instance)
+        if standing is None:
+            return
+        standing.out += 1
+        if self._is_cold(now, standing):
+            standing.tokens, standing.tokens_at = self._tokens(now, standing) - 1.0, now
+
+    def ended(self, now: int, instance: str, seen: Seen, took_us: int, prompt: bool = False) -> Note | None:
+        """What came of it.
+
+        :param took_us: from sending to the end
+        :param prompt: a reset that came so soon that the server was likely full
+        """
+        standing = self.standings.get(instance)
+        if standing is None:
+            return None
+        standing.out = max(0, standing.out - 1)
+        if seen is Seen.MISDIRECTED:
+            standing.dropped = True
+        elif seen in _FULL or (prompt and seen is Seen.RESET):
+            standing.bound = max(1.0, min(standing.bound, standing.out + 1.0) * CUT)
+            if seen in _FULL:
+                standing.failures = 0
+                return None
+            return self._failed(now, standing, 1)
+        elif seen is Seen.NO_CONNECTION:
+            self._time(now, standing, took_us, failed=True)
+            return self._failed(now, standing, FAILURES_IN_ROW)
+        elif seen in _FAILED:
+            self._time(now, standing, took_us, failed=True)
+            return self._failed(now, standing, 1)
+        elif seen is Seen.ANSWERED:
+            self._time(now, standing, took_us, failed=False)
+            standing.failures = standing.rest_us = 0
+            if standing.out + 2 > standing.bound:  # it was the bound that kept more away
+                most = self._most(standing.server)
+                standing.bound = min(most, standing.bound + GROW / standing.bound)
+        return None
+
+    def _time(self, now: int, standing: Standing, took_us: int, failed: bool) -> None:
+        key = (standing.server.service, standing.region)
+        mean = self._mean(*key)
+        took = max(float(took_us), FAILURE_TIMES * mean) if failed else float(took_us)
+        before = standing.time_us or mean
+        standing.time_us = before + SMOOTH * (took - before)
+        standing.timed_at = now
+        if not failed:
+            self.means[key] = took if key not in self.means else mean + SMOOTH / 2 * (took - mean)
+
+    def _failed(self, now: int, standing: Standing, weight: int) -> Note | None:
+        """Rest it after failures in a row, longer each time.
+
+        Danger: what looks like many bad servers may be a bad path from here, or a bad kind of request; with
+        more than half of a service resting, the others would fall over.
+        """
+        standing.failures += weight
+        service = standing.server.service
+        if standing.failures < FAILURES_IN_ROW or now < standing.rest_until:
+            return None
+        peers = [s for found in self.places.get(service, {}).values() for s in found]
+        resting = sum(1 for s in peers if now < s.rest_until)
+        if 2 * (resting + 1) > len(peers):
+            return None
+        standing.rest_us = min(MOST_REST_US, 2 * standing.rest_us or REST_US)
+        standing.rest_until = now + standing.rest_us
+        standing.failures = FAILURES_IN_ROW - 1  # the next failure rests it again
+        return Note(
+            Event.SERVER_RESTED, {"instance": standing.server.instance, "for_ms": standing.rest_us // 1000}
+        )
+
+    def _most(self, server: Server) -> float:
+        service = self.services.get(server.service)
+        most = server.capacity + max(1.0, QUEUE_PART * server.capacity)
+        return max(1.0, min(most, service.connection_cap) if service and service.connection_cap > 0 else most)
+
+    def _first_bound(self, server: Server) -> float:
+        return max(1.0, min(float(server.capacity), self._most(server)))
--- /dev/null
+++ b/vetchusher/hive/front.py
@@ -0,0 +1,386 @@
+"""The clients' side of an ingress: takes requests from sockets and owes each its one answer.
+
+`Front` owns the door, the attempts at servers, and one `Flow` for each request from its head to its answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+from returns.result import Failure
+
+from vetchusher.events import Event, Note
+from vetchusher.foragers.choice import Choice
+from vetchusher.foragers.claims import Seen
+from vetchusher.foragers.request import (
+    Act,
+    Answer,
+    Budget,
+    Cancel,
+    Ground,
+    Head,
+    Refuse,
+    Request,
+    Send,
+    Tally,
+    WakeAt,
+    judge,
+)
+from vetchusher.kinds import Fault, Kind
+from vetchusher.net.door import Bounds, ClientLink, Door
+from vetchusher.net.links import Streamed
+from vetchusher.net.protocol import seconds_text
+from vetchusher.scouts.server import Server
+from vetchusher.settings.configuration import ClientLimits, Configuration
+
+from .tries import Attempt, Got, Matter, Tries
+
+log = logging.getLogger("vetchusher")
+
+BODIES_PART = 0.25  # of the memory: what all requests' bodies together may take
+RESERVED_FILES = 300  # descriptors for everything that is neither a client's nor a server's connection
+CLIENTS_PART = 0.5  # of the others
+IDLE_SLACK_S = 1.0  # clients heed their own idle limit; closing at it would cross what they send
+LATE_S = 0.05  # beyond the deadline: what has come by then is still passed on
+
+
+class FrontSettings(Protocol):
+    """What the front needs to know of its process."""
+
+    @property
+    def node_name(self) -> str: ...
+    @property
+    def region(self) -> str: ...
+    @property
+    def zones(self) -> Mapping[str, str]: ...
+    @property
+    def memory_mb(self) -> int: ...
+    @property
+    def file_descriptors(self) -> int: ...
+
+
+class _AsItIs:
+    """Danger: aiohttp puts a date, its own name and a type of content into each answer; what a server sent
+    goes back as it was."""
+
+    async def _prepare_headers(self: Any) -> None:
+        own = [name for name in ("Date", "Server", "Content-Type") if name not in self._headers]
+        await super()._prepare_headers()  # type: ignore[misc]
+        for name in own:
+            self._headers.pop(name, None)
+
+
+class Held(_AsItIs, web.Response):
+    pass
+
+
+class Piped(_AsItIs, web.StreamResponse):
+    pass
+
+
+class Flow:
+    """One request's attempts, until its answer stands.  `close` gives back whatever is still held."""
+
+    def __init__(self, front: Front, request: Request, matter: Matter) -> None:
+        self.front = front
+        self.request = request
+        self.matter = matter
+        self.attempts: dict[int, Attempt] = {}
+        self.got: dict[int, Got] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.answer: asyncio.Future[Fault | Got] = front.loop.create_future()
+
+    def start(self) -> None:
+        self.do(self.request.start(self.front.now()))
+
+    def over(self, number: int, seen: Seen, prompt: bool, got: Got | None) -> None:
+        """The report of an attempt."""
+        if got is not None:
+            self.got[number] = got
+        now = self.front.now()
+        if got is not None and isinstance(got.body, Streamed):
+            self.do(self.request.streaming(now, number))
+        else:
+            self.do(self.request.ended(now, number, seen, prompt))
+
+    def late(self) -> None:
+        self.do(self.request.late(self.front.now()))
+
+    def do(self, acts: list[Act]) -> None:
+        for act in acts:
+            match act:
+                case Send():
+                    self.attempts[act.number] = self.front.tries.start(act, self.matter, self.over)
+                case Cancel():
+                    self.front.tries.cancel(self.attempts[act.number])
+                case WakeAt():
+                    self.timer = self.front.loop.call_at(act.at / 1e6, self.late)
+                case Answer():
+                    self.settle(self.got.pop(act.number))
+                case Refuse():
+                    self.settle(act.fault)
+        for note in self.request.notes:
+            self.front.note(note)
+        self.request.notes.clear()
+
+    def settle(self, answer: Fault | Got) -> None:
+        if not self.answer.done():
+            self.answer.set_result(answer)
+        else:
+            give_back(answer)
+
+    def close(self, whole: bool) -> None:
+        """:param whole: the answer, if it was streamed, went through to its end"""
+        now, request = self.front.now(), self.request
+        if self.timer is not None:
+            self.timer.cancel()
+        if (number := request.answered) is not None:
+            request.ended(now, number, Seen.ANSWERED if whole else Seen.RESET)
+        self.do(request.left(now))
+        if self.answer.done() and not self.answer.cancelled():
+            give_back(self.answer.result())
+        for got in self.got.values():
+            give_back(got)
+
+
+def give_back(answer: Fault | Got) -> None:
+    if isinstance(answer, Got) and isinstance(answer.body, Streamed):
+        answer.body.close()
+
+
+class Front:
+    """Call `open`, then `configuration` and `servers` as they come; at the end `leave`, then `close`.
+
+    :param note: takes the lines for the log
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: FrontSettings,
+        rng: random.Random,
+        tally: Tally,
+        budget: Budget,
+        note: Callable[[Note], None],
+    ) -> None:
+        self.loop = loop
+        self.note = note
+        self.choice = Choice(rng, settings.node_name, settings.region, settings.zones)
+        self.ground = Ground(self.choice, tally, budget, rng)
+        self.limits = ClientLimits()
+        self.leaving = False
+        self.most_held = int(settings.memory_mb * 1024 * 1024 * BODIES_PART)
+        self.held = 0  # bytes of all requests' bodies
+        self.ends: Counter[str] = (
+            Counter()
+        )  # of requests, since the last `figures`; as many as there are kinds
+        places = max(64, settings.file_descriptors - RESERVED_FILES)
+        server = web.Server(self.handle, handler_cancellation=True, request_factory=self.make_request)
+        self.door = Door(loop, server, int(places * CLIENTS_PART), Bounds())
+        self.tries = Tries(loop, int(places * (1 - CLIENTS_PART)), self.choice.knows)
+        self.bound()
+
+    def now(self) -> int:
+        return int(self.loop.time() * 1e6)
+
+    def open(self, host: str, port: int) -> None:
+        self.door.open(host, port)
+
+    def configuration(self, configuration: Configuration) -> None:
+        """A request under way keeps the configuration that it began with."""
+        self.ground.configure(configuration)
+        self.limits = configuration.limits
+        self.bound()
+        self.note(Note(Event.CONFIGURATION_IN_FORCE, {"version": configuration.version}))
+
+    def bound(self) -> None:
+        bounds, limits = self.door.bounds, self.limits
+        bounds.first_s = limits.header_ms / 1e3
+        bounds.idle_s = limits.idle_ms / 1e3 + IDLE_SLACK_S
+        bounds.options = {"max_line_size": limits.header_bytes, "max_field_size": limits.header_bytes}
+
+    def servers(self, servers: list[Server]) -> None:
+        self.choice.servers(servers)
+        self.tries.servers_changed()
+
+    def evacuated(self, zones: frozenset[str], now: int) -> None:
+        self.choice.evacuated(zones, now)
+
+    def fresh(self, fresh: bool) -> None:
+        self.ground.fresh = fresh
+
+    def leave(self) -> None:
+        """From now on every answer closes its connection; new ones are served as before."""
+        self.leaving = True
+
+    async def close(self, deadline: int) -> None:
+        """Take nobody in any more, and end what is open.
+
+        :param deadline: us; only then is what servers still work on broken off
+        """
+        self.leave()
+        await self.door.close()
+        while self.door.links and self.now() < deadline:
+            await asyncio.sleep(0.01)
+        for link in list(self.door.links):
+            link.wire.abort()
+        self.door.stop()
+        await self.tries.close()
+
+    def figures(self) -> Note:
+        """How the requests of the last period ended."""
+        facts: dict[str, object] = {name: count for name, count in sorted(self.ends.items())}
+        self.ends.clear()
+        return Note(
+            Event.REQUESTS, facts | {"open": len(self.tries.attempts), "clients": len(self.door.links)}
+        )
+
+    def make_request(
+        self, message: Any, payload: Any, protocol: Any, writer: Any, task: asyncio.Task[None]
+    ) -> web.BaseRequest:
+        return web.BaseRequest(message, payload, protocol, writer, task, self.loop)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        link = request.protocol
+        assert isinstance(link, ClientLink)
+        try:
+            response = await self.respond(request, link)
+        finally:
+            link.answered()
+        # Danger: after a head that asks for another protocol the reader takes what follows for no request.
+        if self.leaving or "Upgrade" in request.headers:
+            response.force_close()
+        return response
+
+    async def respond(self, request: web.BaseRequest, link: ClientLink) -> web.StreamResponse:
+        head = Head(request.method, request.raw_path, list(request.headers.items()), self.now())
+        judged = judge(self.ground, head)
+        if isinstance(judged, Failure):
+            return self.refuse(request, judged.failure())
+        way = judged.unwrap()
+        body: list[bytes] = []
+        try:
+            if request.body_exists and (fault := await self.read(request, link, body, way.deadline)):
+                return self.refuse(request, fault)
+            return await self.serve(request, link, way, body)
+        finally:
+            self.held -= sum(map(len, body))
+
+    async def serve(
+        self, request: web.BaseRequest, link: ClientLink, way: Request, body: list[bytes]
+    ) -> web.StreamResponse:
+        flow = Flow(self, way, Matter(request.method, request.raw_path, body, way.id.encode()))
+        whole = False
+        try:
+            flow.start()
+            answer = await flow.answer
+            if isinstance(answer, Fault):
+                return self.refuse(request, answer)
+            self.ends[f"{answer.status // 100}xx"] += 1
+            headers = CIMultiDict(answer.headers)
+            if not isinstance(answer.body, Streamed):
+                if not answer.body and answer.length and request.method == "HEAD":
+                    headers["Content-Length"] = str(answer.length)
+                return Held(
+                    status=answer.status, reason=answer.reason, headers=headers, body=answer.body or None
+                )
+            out = Piped(status=answer.status, reason=answer.reason, headers=headers)
+            whole = await self.pipe(request, link, out, answer.body, way.deadline)
+            return out
+        finally:
+            flow.close(whole)
+
+    async def pipe(
+        self, request: web.BaseRequest, link: ClientLink, out: Piped, answer: Streamed, deadline: int
+    ) -> bool:
+        """Pass a long answer on as it comes, in bounded memory: the client's reading paces the server's.
+
+        Danger: an answer cut short must show as such; the connection is broken off before its stated length,
+        or before the chunk that would end it.
+        """
+        out.content_length = answer.response.content_length
+        if self.leaving:
+            out.force_close()
+        try:
+            async with asyncio.timeout_at(deadline / 1e6 + LATE_S):
+                await out.prepare(request)
+                if answer.first:
+                    await out.write(answer.first)
+                while piece := await answer.response.content.readany():
+                    await out.write(piece)
+            return True
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            out.force_close()
+            link.wire.abort()
+            return False
+
+    async def read(
+        self, request: web.BaseRequest, link: ClientLink, body: list[bytes], deadline: int
+    ) -> Fault | None:
+        """The whole body into `body`, or why not."""
+        stated = request.content_length or 0
+        if stated > self.limits.body_bytes:
+            return Fault(Kind.BODY_TOO_LONG, "the body is too long")
+        if self.held + stated > self.most_held:
+            return Fault(Kind.NO_SERVER, "too many bodies are held", 100_000)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            link.wire.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        size = 0
+        try:
+            async with asyncio.timeout_at(deadline / 1e6):
+                while piece := await request.content.readany():
+                    body.append(piece)
+                    size += len(piece)
+                    self.held += len(piece)
+                    if size > self.limits.body_bytes:
+                        return Fault(Kind.BODY_TOO_LONG, "the body is too long")
+                    if self.held > self.most_held:
+                        return Fault(Kind.NO_SERVER, "too many bodies are held", 100_000)
+        except TimeoutError:
+            return Fault(Kind.SLOW_CLIENT, "the body did not come in time")
+        except (aiohttp.ClientError, web.RequestPayloadError, ValueError):
+            return Fault(Kind.UNREADABLE, "the body cannot be read")
+        return None
+
+    def refuse(self, request: web.BaseRequest, fault: Fault) -> web.StreamResponse:
+        self.ends[fault.kind.value] += 1
+        headers = {"Retry-After": seconds_text(fault.retry_after_us)} if fault.retry_after_us else None
+        response = web.Response(status=fault.status, text=fault.text, headers=headers)
+        if (
+            fault.kind in (Kind.UNREADABLE, Kind.BODY_TOO_LONG, Kind.SLOW_CLIENT)
+            or not request.content.at_eof()
+        ):
+            response.force_close()  # what still comes of it must not be taken for the next request
+        return response
+
+
+class Readiness:
+    """`GET /readiness` on an address of its own: 200 or 503."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, ready: Callable[[], bool]) -> None:
+        self.loop = loop
+        self.ready = ready
+        self.server = web.Server(self.handle, access_log=None)
+        self.listener: asyncio.Server | None = None
+
+    async def open(self, host: str, port: int) -> None:
+        self.listener = await self.loop.create_server(self.server, host, port, reuse_address=True)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.raw_path.partition("?")[0] != "/readiness":
+            return web.Response(status=404)
+        return web.Response(status=200 if self.ready() else 503)
+
+    async def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        await self.server.shutdown(0.1)
--- /dev/null
+++ b/vetchusher/hive/tries.py
@@ -0,0 +1,282 @@
+"""Attempts at servers.  `Tries` owns each from `start` to its one report; `Links` owns the connections."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+import socket
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.payload import Payload
+from multidict import CIMultiDict
+
+from vetchusher.foragers.claims import Seen, seen_of
+from vetchusher.foragers.headers import ATTEMPT_ID, NOT_EXECUTED, SEAL, Headers, passed_back
+from vetchusher.foragers.request import Send
+from vetchusher.net.links import Link, Links, NeverSent, Streamed, Ways, open_session, sending, target_url
+from vetchusher.net.protocol import MOST_BODY
+
+log = logging.getLogger("vetchusher")
+
+IDLE_US = (
+    30_000_000  # kept this long at most; what a server says of itself, and what was learned, are shorter
+)
+STATED_PART = 0.8  # of the idle time that a server states: a request written near its end would be lost
+UNSTATED_S = 0.5  # a server that states none keeps idle connections for less than a second
+TRUSTED_S = 0.25  # idle for longer, a connection is none for what may run once only
+PROMPT_US = 250_000  # a reset before any byte of an answer and within this time: the server was full
+USER_TIMEOUT_MS = 2_500  # unacknowledged bytes: the path is gone (a server at work acknowledges them)
+WHOLE_BODY = 256 * 1024  # from here on a body is written in the pieces in which it came
+
+_ATTEMPT = re.compile(
+    rb"\r\n" + ATTEMPT_ID.lower().encode() + rb":[ \t]*([^\r\n]*?)[ \t]*\r\n", re.IGNORECASE
+)
+_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]{1,6})", re.IGNORECASE)
+
+
+@dataclass(slots=True)
+class Matter:
+    """What of a request passes on unchanged, besides its headers."""
+
+    method: str
+    target: str
+    body: list[bytes]
+    id: bytes
+
+
+@dataclass(slots=True)
+class Got:
+    """A server's answer that may be passed on.
+
+    :param body: held whole, or to be passed on as it comes
+    :param length: as stated; none: not stated
+    """
+
+    status: int
+    reason: str
+    headers: Headers
+    body: bytes | Streamed
+    length: int | None
+
+
+Report = Callable[[int, Seen, bool, Got | None], None]
+
+
+class Pieces(Payload):
+    """A long body, written in the pieces in which it came."""
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        super().__init__(pieces)
+        self._size = sum(map(len, pieces))
+
+    def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
+        return b"".join(self._value).decode(encoding, errors)
+
+    async def write(self, writer: AbstractStreamWriter) -> None:
+        for piece in self._value:
+            await writer.write(piece)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    send: Send
+    matter: Matter
+    report: Report
+    sent_at: float = 0.0
+    task: asyncio.Task[None] | None = None
+    expiry: asyncio.TimerHandle | None = None
+    begun: bool = False
+    link: Link | None = None
+    marked: bool = False  # its answer bears its id
+    heard: bool = False  # a piece of its answer has come
+    over: bool = False
+
+    @property
+    def holder(self) -> object:
+        return self.send.server.instance
+
+    def answering(self) -> None:
+        self.heard = True
+
+
+def owns(attempt: Attempt, head: bytes) -> bool:
+    """Whether the answer is that attempt's.  One without an id may be: `seen_of` weighs what it claims."""
+    found = _ATTEMPT.findall(head)
+    if found and set(found) != {attempt.matter.id}:
+        return False
+    attempt.marked = bool(found)
+    return True
+
+
+def has_no_body(attempt: Attempt, status: bytes) -> bool:
+    return status in (b"204", b"304") or attempt.matter.method == "HEAD"
+
+
+def fits(attempt: Attempt, link: Link, idle: float) -> bool:
+    return idle <= TRUSTED_S or not attempt.send.trusted
+
+
+def new_socket(addr: Any) -> socket.socket:
+    """Danger: behind a cut nothing answers, and what was written would wait for minutes."""
+    made = socket.socket(addr[0], addr[1], addr[2])
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return made
+
+
+class Tries:
+    """:param keeps: whether a server is still on the list: connections to the others are not kept"""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, connections: int, keeps: Callable[[Any], bool]
+    ) -> None:
+        self.loop = loop
+        self.attempts: set[Attempt] = set()
+        ways = Ways(own=owns, bodiless=has_no_body, fits=fits, opened=new_socket)
+        self.session = open_session(connections, IDLE_US, None, keeps, ways)
+
+    def servers_changed(self) -> None:
+        """Danger: a connection to one that is gone may lead to whoever has its address now."""
+        connector = self.session.connector
+        assert isinstance(connector, Links)
+        connector.drop_stale()
+
+    def start(self, send: Send, matter: Matter, report: Report) -> Attempt:
+        attempt = Attempt(send, matter, report, self.loop.time())
+        self.attempts.add(attempt)
+        attempt.task = self.loop.create_task(self.run(attempt))
+        attempt.expiry = self.loop.call_at(send.deadline / 1e6, self.expire, attempt)
+        return attempt
+
+    def expire(self, attempt: Attempt) -> None:
+        # Danger: what the closing socket still holds may be sent yet, so a request that was only partly
+        # written when its time was over may run all the same.
+        self.finish(attempt, Seen.SILENT if attempt.begun else Seen.NO_CONNECTION)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """End it without a report."""
+        if self.close_off(attempt) and attempt.task is not None:
+            attempt.task.cancel()
+
+    def close_off(self, attempt: Attempt) -> bool:
+        if attempt.over:
+            return False
+        attempt.over = True
+        self.attempts.discard(attempt)
+        if attempt.expiry is not None:
+            attempt.expiry.cancel()
+        return True
+
+    def finish(self, attempt: Attempt, seen: Seen, got: Got | None = None) -> None:
+        """The one place where an attempt ends.  Cancelling its task closes a connection still in use."""
+        if not self.close_off(attempt):
+            if got is not None and isinstance(got.body, Streamed):
+                got.body.close()
+            return
+        if attempt.task is not None and attempt.task is not asyncio.current_task():
+            attempt.task.cancel()
+        soon = self.loop.time() - attempt.sent_at < PROMPT_US / 1e6
+        prompt = seen is Seen.RESET and soon and not attempt.heard
+        attempt.report(attempt.send.number, seen, prompt, got)
+
+    async def run(self, attempt: Attempt) -> None:
+        send, matter = attempt.send, attempt.matter
+        sending.set(attempt)
+        response: aiohttp.ClientResponse | None = None
+        got: Got | None = None
+        try:
+            response = await self.session.request(
+                matter.method,
+                target_url(send.server.address, matter.target),
+                headers=CIMultiDict(send.headers),
+                data=body_of(matter.body),
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=None, connect=max(1, send.connect_us) / 1e6),
+            )
+            seen, got = await self.take(attempt, response)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            seen = Seen.NO_CONNECTION
+        except NeverSent:
+            seen = Seen.NOT_WRITTEN
+        except aiohttp.ClientResponseError:
+            seen = Seen.GARBLED
+        except (aiohttp.ClientError, OSError):
+            seen = Seen.RESET
+        except asyncio.CancelledError:
+            if response is not None:
+                response.close()
+            raise
+        except Exception as err:
+            log.warning("attempt failed: %s: %s", type(err).__name__, err)
+            seen = Seen.GARBLED  # it may have run: nothing better is known
+        self.finish(attempt, seen, got)
+
+    async def take(self, attempt: Attempt, response: aiohttp.ClientResponse) -> tuple[Seen, Got | None]:
+        """Read an answer as far as it is held, and say what it shows."""
+        attempt.heard = True
+        link, headers = attempt.link, response.headers
+        first_call = link is not None and link.calls == 1
+        if link is not None:
+            link.idle_most = idle_most(headers.get("Keep-Alive"))
+            if attempt.matter.method == "HEAD":
+                link.force_close()  # Danger: a second copy of its answer could not be passed over
+        good = 200 <= response.status < 300
+        ours = attempt.marked or (first_call and not good)
+        seen = seen_of(response.status, NOT_EXECUTED in headers, ours, SEAL in headers)
+        body = await read(attempt, response)
+        if body is None:
+            return Seen.GARBLED, None
+        if seen not in (Seen.ANSWERED, Seen.SERVER_ERROR):
+            if isinstance(body, Streamed):
+                body.close()
+            return seen, None
+        passed = passed_back(headers.items())
+        got = Got(response.status, response.reason or "", passed, body, response.content_length)
+        return seen, got
+
+    async def close(self) -> None:
+        for attempt in list(self.attempts):
+            self.cancel(attempt)
+        await self.session.close()
+
+
+def idle_most(keep_alive: str | None) -> float:
+    """Seconds for which a connection may stand idle, by what the server says."""
+    told = _TIMEOUT.search(keep_alive) if keep_alive else None
+    return int(told[1]) * STATED_PART if told else UNSTATED_S
+
+
+def body_of(pieces: list[bytes]) -> bytes | Pieces | None:
+    if not pieces:
+        return None
+    if len(pieces) == 1 and len(pieces[0]) <= WHOLE_BODY:
+        return pieces[0]
+    return b"".join(pieces) if sum(map(len, pieces)) <= WHOLE_BODY else Pieces(pieces)
+
+
+async def read(attempt: Attempt, response: aiohttp.ClientResponse) -> bytes | Streamed | None:
+    """The body if it is short, else what will bring it; nothing if its end could not be told."""
+    if has_no_body(attempt, b"%d" % response.status):
+        response.release()
+        return b""
+    length = response.content_length
+    if length is not None:
+        return await response.read() if length <= MOST_BODY else Streamed(response, 0.0)
+    if "chunked" not in response.headers.get("Transfer-Encoding", "").lower():
+        response.close()
+        return None
+    parts: list[bytes] = []
+    async for part in _parts(response):
+        parts.append(part)
+        if sum(map(len, parts)) > MOST_BODY:
+            return Streamed(response, 0.0, b"".join(parts))
+    return b"".join(parts)
+
+
+async def _parts(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    while part := await response.content.readany():
+        yield part
--- a/vetchusher/net/door.py
+++ b/vetchusher/net/door.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import socket
+from dataclasses import dataclass, field
 from typing import Any, cast
 
 from aiohttp import web
@@ -29,6 +30,20 @@
 LINGER_S = 0.2  # what is still sent after an error is read away this long, so that the client can read it
 
 
+@dataclass(slots=True)
+class Bounds:
+    """How long connections may take; may be changed while the door is open.
+
+    :param first_s: from connecting, or from a command's first byte, to the end of its head
+    :param idle_s: without a command: from then on it is closed; none: only to make room
+    :param options: of aiohttp's reader of requests, for connections yet to come
+    """
+
+    first_s: float = FIRST_S
+    idle_s: float | None = None
+    options: dict[str, int] = field(default_factory=dict)
+
+
 class ClientLink(RequestHandler):
     """One service client's connection."""
 
@@ -84,7 +99,14 @@
     """Danger: out of descriptors, no attempt could be made for the commands already taken; with its places
     held by those who send nothing, no usual client would get in."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, server: web.Server, places: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        server: web.Server,
+        places: int,
+        bounds: Bounds | None = None,
+    ) -> None:
+        self.bounds = bounds or Bounds()
         self.loop = loop
         self.server = server
         self.places = places
@@ -130,6 +152,7 @@
             keepalive_timeout=KEEPALIVE_S,
             lingering_time=LINGER_S,
             logger=log,
+            **self.bounds.options,
         )
 
     def accept(self) -> None:
@@ -188,8 +211,11 @@
         return False
 
     def sweep(self) -> None:
-        for link in self.idle(True, FIRST_S):
+        for link in self.idle(True, self.bounds.first_s):
             link.shut()
+        if self.bounds.idle_s is not None:
+            for link in self.idle(False, self.bounds.idle_s):
+                link.shut()
         # Danger: whoever opens connections for many clients has a limit of its own; with idle ones held up
         # to that, no new client could reach this ingress though it has room.
         idle = self.idle(False, SPENT_S)
--- a/vetchusher/net/links.py
+++ b/vetchusher/net/links.py
@@ -11,6 +11,7 @@
 import select
 from collections.abc import Callable
 from contextvars import ContextVar
+from dataclasses import dataclass
 from typing import Any, Protocol, cast
 
 import aiohttp
@@ -26,6 +27,7 @@
 REST_S = 0.03  # between an answer and the next request: what its sender still does comes by then
 TRUST_PART, TRUST_LEAST_S = 0.8, 0.06  # of the idle time at which a connection was found dead; least kept
 TRUST_AGAIN_S = 20.0  # in this time twice as long an idle time is trusted again
+MOST_PASSED = 8  # answers of other calls before a call's own
 DEAD_S = 0.02  # a connection that was dead before a request is reset this soon after it
 
 _LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*([0-9]{1,18})[ \t]*\r\n", re.IGNORECASE)
@@ -54,6 +56,23 @@
 sending: ContextVar[Sending] = ContextVar("sending")  # of the running task
 
 
+@dataclass(slots=True, frozen=True)
+class Ways:
+    """How a program's connections are used, where that differs from program to program.
+
+    :param own: whether the head of an answer belongs to the call: one that does not is read and passed over,
+        and the connection closed after the call's own; none: every answer is the call's
+    :param bodiless: whether an answer of that status to the call has no body whatever length it states
+    :param fits: whether a connection, idle for so long (seconds), may be used for the call
+    :param opened: makes the socket of a new connection
+    """
+
+    own: Callable[[Any, bytes], bool] | None = None
+    bodiless: Callable[[Any, bytes], bool] | None = None
+    fits: Callable[[Any, Link, float], bool] | None = None
+    opened: Callable[[Any], Any] | None = None
+
+
 class Trust:
     """How long idle connections live, learned from those that were reset at their next request.
 
@@ -81,9 +100,14 @@
     answer before it; kept, a copy would answer the next command on this connection.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, trust: Trust) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, trust: Trust, ways: Ways) -> None:
         super().__init__(loop)
         self.trust = trust
+        self.ways = ways
+        self.calls = 0  # sent on it
+        self.passing = 0  # bytes still to come of another call's answer
+        self.passed = 0  # such answers since the last call
+        self.idle_most = float("inf")  # seconds that it may stand idle, where its peer says so
         self.holder: object = None
         self.waiting: Sending | None = None  # whose answer has not come whole
         self.head = b""  # of the answer, as far as it has come
@@ -93,6 +117,7 @@
     def expect(self, call: Sending) -> None:
         self.holder, self.waiting, self.head, self.left = call.holder, call, b"", 0
         self.begun_at = self._loop.time()
+        self.calls, self.passed = self.calls + 1, 0
 
     def connection_lost(self, exc: BaseException | None) -> None:
         now = self._loop.time()
@@ -112,6 +137,10 @@
             self.head_received(self.head + data)
 
     def head_received(self, data: bytes) -> None:
+        if self.passing:
+            passed = min(self.passing, len(data))
+            self.passing -= passed
+            data = data[passed:]
         status = None
         while (end := data.find(b"\r\n\r\n") + 4) >= 4:
             status = _STATUS.match(data)
@@ -128,13 +157,36 @@
             return
         head, self.head = data[:end], b""
         length = _LENGTH.findall(head)
-        if status is None or len(length) != 1 or _CODED.search(head):
+        told = status is not None and len(length) == 1 and not _CODED.search(head)
+        own = self.ways.own
+        if status is not None and own is not None and not own(self.waiting, head):
+            self.pass_over(int(length[0]) if told else None, data[end:])
+            return
+        none = self.ways.bodiless
+        if status is not None and none is not None and none(self.waiting, status[1]):
+            self.left = 0
+        elif not told:
             self.left = -1
             super().data_received(data)
             return
-        self.left = int(length[0])
+        else:
+            self.left = int(length[0])
         self.body_received(data[end:], head)
 
+    def pass_over(self, length: int | None, rest: bytes) -> None:
+        """Another call's answer came in the place of this one's: this one's follows it.
+
+        Danger: kept, the connection may bring one answer too many again.
+        """
+        self.passed += 1
+        if length is None or self.passed > MOST_PASSED:
+            self.surplus()  # where it ends is not told, or there is no end of them
+            return
+        self.force_close()
+        self.passing = length
+        if rest:
+            self.head_received(rest)
+
     def body_received(self, data: bytes, head: bytes = b"") -> None:
         if self.left < 0:
             super().data_received(data)
@@ -171,34 +223,54 @@
 class Links(aiohttp.TCPConnector):
     """The connections of one kind: so many at most, idle ones included, each for one holder only."""
 
-    def __init__(self, most: int, idle_us: float, keeps: Callable[[Any], bool]) -> None:
+    def __init__(
+        self, most: int, idle_us: float, keeps: Callable[[Any], bool], ways: Ways | None = None
+    ) -> None:
+        self.ways = ways or Ways()
         super().__init__(
-            limit=most, keepalive_timeout=idle_us / 1e6, use_dns_cache=False, happy_eyeballs_delay=None
+            limit=most,
+            keepalive_timeout=idle_us / 1e6,
+            use_dns_cache=False,
+            happy_eyeballs_delay=None,
+            socket_factory=self.ways.opened,
         )
         self.most = most
         self.keeps = keeps  # whether a holder is still there
         self.trust = Trust(idle_us / 1e6)
-        self._factory = cast(Any, functools.partial(Link, asyncio.get_running_loop(), self.trust))
+        self._factory = cast(Any, functools.partial(Link, asyncio.get_running_loop(), self.trust, self.ways))
 
     async def _get(self, key: Any, traces: Any) -> Any:
         # Danger: an address may have passed to a new holder, and what came unread on an idle connection
         # would be taken for the next answer.
+        aside: list[Link] = []  # good ones, but not for this call
         while (found := await super()._get(key, traces)) is not None:
             link = cast(Link, found.protocol)
             now = self._loop.time()
             idle = now - link.idle_since
-            if link.holder == sending.get().holder and idle <= self.trust.span(now) and link.quiet():
-                if idle >= REST_S:
+            span = min(self.trust.span(now), link.idle_most)
+            if link.holder == sending.get().holder and idle <= span and link.quiet():
+                if idle >= REST_S and self.fits(link, idle):
                     break
+                found._protocol = None
+                aside.append(link)
                 # Danger: peers close right after an answer, or send it twice; a request that crosses
                 # either is lost.  The longest idle come first: all the others rest as well.
-                since = link.idle_since
-                super()._release(key, link)
-                found._protocol, link.idle_since = None, since
-                return None
+                if idle < REST_S:
+                    found = None
+                    break
+                continue
             found.close()
+        for link in reversed(aside):
+            since = link.idle_since
+            super()._release(key, link)
+            link.idle_since = since
+            if key in self._conns:
+                self._conns[key].rotate(1)  # back to its place
         return found
 
+    def fits(self, link: Link, idle: float) -> bool:
+        return self.ways.fits is None or self.ways.fits(sending.get(), link, idle)
+
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
         protocol.waiting, protocol.idle_since = None, self._loop.time()
         super()._release(key, protocol, should_close=should_close or not self.keeps(protocol.holder))
@@ -247,11 +319,15 @@
 
 
 def open_session(
-    connections: int, idle_us: float, connect_us: int | None, keeps: Callable[[Any], bool]
+    connections: int,
+    idle_us: float,
+    connect_us: int | None,
+    keeps: Callable[[Any], bool],
+    ways: Ways | None = None,
 ) -> aiohttp.ClientSession:
     """A client that does nothing by itself: no time-outs, cookies, proxies, decompression or re-sends."""
     session = aiohttp.ClientSession(
-        connector=Links(connections, idle_us, keeps),
+        connector=Links(connections, idle_us, keeps, ways),
         timeout=aiohttp.ClientTimeout(total=None, connect=connect_us and connect_us / 1e6, sock_connect=None),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
@@ -277,8 +353,10 @@
     Owns the instance's response, and with it the connection, until `close`; whoever takes it gives it back.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse, gap_s: float) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, gap_s: float, first: bytes = b"") -> None:
+        """:param first: what has been read of it already"""
         self.response = response
+        self.first = first
         self.gap_s = gap_s  # a silence between two pieces that gives the rest up
         self.length = response.content_length or 0
 
