--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -221,6 +222,66 @@
                 front.servers([])  # what was learned of them is forgotten
                 front.servers([server.row, other.row])
 
+    @scene
+    async def test_whatever_servers_do_what_clients_are_told_is_true(self):
+        """Servers in changing moods: nothing that may run once runs twice, a promise is kept, and a good
+        answer is that of the server to that very request."""
+        rng = random.Random(5)
+        moods = ["ok"] * 12 + ["reset", "refuse", "full", "silent", "junk", "cut", "unsealed", "surplus"]
+        moods += ["error", "promise", "again", "again", "chunked", "nameless"]
+        servers = [StandIn(f"i-{n}", usual=lambda: rng.choice(moods), time_s=0.01) for n in range(3)]
+        told = {}
+
+        async def client(port, count):
+            for n in range(count):
+                kind = rng.choice(["POST /once", "GET /safe"])
+                async with Client(port) as one:
+                    for _ in range(3):
+                        status, headers, body = await one.ask(
+                            f"{kind}/{n}", b"" if kind[0] == "G" else b"x", left=300
+                        )
+                        told[one.id] = kind, status
+                        if status == 200:
+                            self.assertEqual(f"3e1b.{one.id}", headers["x-vetchusher-server-seal"])
+                            self.assertEqual(servers[0].body, body)
+                        await asyncio.sleep(rng.choice([0, 0.04, 0.12]))
+
+        async with ingress(*servers) as (front, port):
+            await asyncio.gather(*(client(port, 10) for _ in range(12)))
+            self.assertEqual(0, sum(s.out for s in front.choice.standings.values()))
+        runs = sum((server.runs for server in servers), Counter())
+        statuses = Counter(status for _, status in told.values())
+        for id, (kind, status) in told.items():
+            self.assertTrue(kind == "GET /safe" or runs[id] <= 1, (id, kind, status))
+            self.assertTrue(status != 503 or not runs[id], (id, kind, status))
+        self.assertTrue({200, 500, 502, 503, 504} <= set(statuses), statuses)
+
+    @scene
+    async def test_what_may_run_once_goes_on_connections_that_are_surely_alive(self):
+        server = StandIn("i-1")
+        async with ingress(server) as (_, port):
+            for idle, connections in ((0, 1), (0.05, 1), (0.3, 2)):
+                await asyncio.sleep(idle)
+                await ask(port, "POST /once/1", b"x")
+                self.assertEqual(connections, server.connections)
+            await asyncio.sleep(0.3)
+            await ask(port, "GET /safe/1")
+            self.assertEqual(2, server.connections)
+            server.moods = ["surplus"]
+            await ask(port, "GET /safe/1")
+            await asyncio.sleep(0.05)
+            self.assertEqual(200, (await ask(port, "POST /once/2"))[0])
+
+    @scene
+    async def test_silence_is_waited_out_and_is_no_promise(self):
+        server = StandIn("i-1", moods=["silent"])
+        async with ingress(server) as (front, port):
+            begun = asyncio.get_running_loop().time()
+            self.assertEqual(504, (await ask(port, "POST /once/1", b"x", left=400))[0])
+            self.assertTrue(0.38 < asyncio.get_running_loop().time() - begun < 0.6)
+            self.assertEqual(200, (await ask(port, "POST /once/1", b"x"))[0])
+            self.assertEqual(2, server.connections)
+
     @scene
     async def test_late_answer_of_another_request_is_skipped(self):
         server = StandIn("i-1", moods=["again"])
--- a/vetchusher/emulator/servers.py
+++ b/vetchusher/emulator/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from vetchusher.scouts.server import Server
@@ -35,6 +36,7 @@
         (resets without running), `full`, `silent`, `junk`, `cut`, `unsealed`, `surplus`, `error`, `promise`
         (an unmarked 503 after it ran), `again` (answers, and sends the answer once more late), `chunked`,
         `nameless` (an answer without an id)
+    :param usual: the mood where none is named
     """
 
     instance: str
@@ -44,6 +46,7 @@
     time_s: float = 0.0
     body: bytes = b"the server's bytes"
     moods: list[str] = field(default_factory=list)
+    usual: Callable[[], str] = lambda: "ok"
     arrivals: list[Arrival] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)  # by attempt id
     connections: int = 0
@@ -81,7 +84,7 @@
     ) -> bool:
         """Whether the connection goes on."""
         self.arrivals.append(Arrival(start, headers, body))
-        mood = self.moods.pop(0) if self.moods else "ok"
+        mood = self.moods.pop(0) if self.moods else self.usual()
         if headers.get(INSTANCE, self.instance) != self.instance:
             writer.write(self.answer("421 Misdirected Request", headers, "X-Vetchusher-Not-Executed: 1\r\n"))
             return True
--- a/vetchusher/foragers/claims.py
+++ b/vetchusher/foragers/claims.py
@@ -89,7 +89,7 @@
     if not_executed:
         return Seen.NOT_EXECUTED
     # Danger: passed on, a promise that the server did not mark would promise what nobody knows; a good
-    # answer without the stamp is no server's.
-    if status in PROMISES or (200 <= status < 300 and not sealed):
+    # answer without the stamp is no server's; nobody asked for another protocol.
+    if status < 200 or status in PROMISES or (200 <= status < 300 and not sealed):
         return Seen.GARBLED
     return Seen.SERVER_ERROR if status >= 500 else Seen.ANSWERED
--- a/vetchusher/foragers/request.py
+++ b/vetchusher/foragers/request.py
@@ -39,6 +39,7 @@
 CONNECT_PART = 3  # and never more than one part in so many of the time left
 SPARE_TRIES = 2  # beyond `max_attempts`: for those that never reached a server
 LATE_TIMES, LATE_PART = 4.0, 1 / 3  # of a route's usual time, of a request's time: from then on it is late
+LATE_TARGETS = 2  # of a route's aim, as the time that counts here: a copy sent after the aim earns little
 SMOOTH = 0.05
 STALE_AGAIN_US = 200_000  # when to return while this ingress cannot tell what is in force
 MOST_QUOTA_WAIT_US = 2_000_000
@@ -205,7 +206,8 @@
         acts: list[Act] = [self._send(now, server)]
         if self.repeatable and self.route.max_attempts > 1:
             usual = self.ground.times.get(self.route.name, 0.0)
-            acts.append(WakeAt(now + int(max(LATE_TIMES * usual, LATE_PART * (self.deadline - now)))))
+            time = min(self.deadline - now, LATE_TARGETS * self.route.target_ms * 1000)
+            acts.append(WakeAt(now + int(max(LATE_TIMES * usual, LATE_PART * time))))
         return acts
 
     def ended(self, now: int, number: int, seen: Seen, prompt: bool = False) -> list[Act]:
--- a/vetchusher/hive/front.py
+++ b/vetchusher/hive/front.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 
 import aiohttp
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 from returns.result import Failure
 
@@ -45,10 +45,13 @@
 
 log = logging.getLogger("vetchusher")
 
+BUSY_AGAIN_US = 100_000  # when to return while this ingress itself has no room
 BODIES_PART = 0.25  # of the memory: what all requests' bodies together may take
 RESERVED_FILES = 300  # descriptors for everything that is neither a client's nor a server's connection
 CLIENTS_PART = 0.5  # of the others
 IDLE_SLACK_S = 1.0  # clients heed their own idle limit; closing at it would cross what they send
+HEADER_SLACK_S = 0.5  # clients count a head's time from when they began to send
+WRITE_S = 10.0  # for a client to take what was answered
 LATE_S = 0.05  # beyond the deadline: what has come by then is still passed on
 
 
@@ -103,13 +106,17 @@
 
     def over(self, number: int, seen: Seen, prompt: bool, got: Got | None) -> None:
         """The report of an attempt."""
-        if got is not None:
-            self.got[number] = got
         now = self.front.now()
-        if got is not None and isinstance(got.body, Streamed):
-            self.do(self.request.streaming(now, number))
-        else:
-            self.do(self.request.ended(now, number, seen, prompt))
+        try:
+            if got is not None:
+                self.got[number] = got
+            if got is not None and isinstance(got.body, Streamed):
+                self.do(self.request.streaming(now, number))
+            else:
+                self.do(self.request.ended(now, number, seen, prompt))
+        except Exception:  # whatever fails here, the client is owed an answer
+            log.exception("a request's next step failed")
+            self.settle(Fault(Kind.MAY_HAVE_RUN, "failed"))
 
     def late(self) -> None:
         self.do(self.request.late(self.front.now()))
@@ -185,7 +192,8 @@
         places = max(64, settings.file_descriptors - RESERVED_FILES)
         server = web.Server(self.handle, handler_cancellation=True, request_factory=self.make_request)
         self.door = Door(loop, server, int(places * CLIENTS_PART), Bounds())
-        self.tries = Tries(loop, int(places * (1 - CLIENTS_PART)), self.choice.knows)
+        self.most_tries = int(places * (1 - CLIENTS_PART))
+        self.tries = Tries(loop, self.most_tries, self.choice.knows)
         self.bound()
 
     def now(self) -> int:
@@ -203,8 +211,9 @@
 
     def bound(self) -> None:
         bounds, limits = self.door.bounds, self.limits
-        bounds.first_s = limits.header_ms / 1e3
+        bounds.first_s = limits.header_ms / 1e3 + HEADER_SLACK_S
         bounds.idle_s = limits.idle_ms / 1e3 + IDLE_SLACK_S
+        bounds.write_s = WRITE_S
         bounds.options = {"max_line_size": limits.header_bytes, "max_field_size": limits.header_bytes}
 
     def servers(self, servers: list[Server]) -> None:
@@ -230,6 +239,9 @@
         await self.door.close()
         while self.door.links and self.now() < deadline:
             await asyncio.sleep(0.01)
+            for link in list(self.door.links):
+                if not link.busy:  # it was still taking an answer when the others were closed
+                    link.shut()
         for link in list(self.door.links):
             link.wire.abort()
         self.door.stop()
@@ -261,6 +273,10 @@
         return response
 
     async def respond(self, request: web.BaseRequest, link: ClientLink) -> web.StreamResponse:
+        # Danger: to a client of HTTP/1.0 a chunked answer cut short would look whole; after a head that asks
+        # for another protocol the reader takes the body for that.
+        if request.version != HttpVersion11 or ("Upgrade" in request.headers and request.body_exists):
+            return self.refuse(request, Fault(Kind.UNREADABLE, "not HTTP/1.1"))
         head = Head(request.method, request.raw_path, list(request.headers.items()), self.now())
         judged = judge(self.ground, head)
         if isinstance(judged, Failure):
@@ -268,6 +284,9 @@
         way = judged.unwrap()
         body: list[bytes] = []
         try:
+            if len(self.tries.attempts) >= self.most_tries:
+                # Danger: waiting for a connection here would look like servers that let nobody connect.
+                return self.refuse(request, Fault(Kind.NO_SERVER, "no connection is free", BUSY_AGAIN_US))
             if request.body_exists and (fault := await self.read(request, link, body, way.deadline)):
                 return self.refuse(request, fault)
             return await self.serve(request, link, way, body)
@@ -330,7 +349,7 @@
         if stated > self.limits.body_bytes:
             return Fault(Kind.BODY_TOO_LONG, "the body is too long")
         if self.held + stated > self.most_held:
-            return Fault(Kind.NO_SERVER, "too many bodies are held", 100_000)
+            return Fault(Kind.NO_SERVER, "too many bodies are held", BUSY_AGAIN_US)
         if request.headers.get("Expect", "").lower() == "100-continue":
             link.wire.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         size = 0
@@ -343,7 +362,7 @@
                     if size > self.limits.body_bytes:
                         return Fault(Kind.BODY_TOO_LONG, "the body is too long")
                     if self.held > self.most_held:
-                        return Fault(Kind.NO_SERVER, "too many bodies are held", 100_000)
+                        return Fault(Kind.NO_SERVER, "too many bodies are held", BUSY_AGAIN_US)
         except TimeoutError:
             return Fault(Kind.SLOW_CLIENT, "the body did not come in time")
         except (aiohttp.ClientError, web.RequestPayloadError, ValueError):
--- a/vetchusher/net/door.py
+++ b/vetchusher/net/door.py
@@ -36,11 +36,13 @@
 
     :param first_s: from connecting, or from a command's first byte, to the end of its head
     :param idle_s: without a command: from then on it is closed; none: only to make room
+    :param write_s: after an answer: until then it is not closed while bytes of that still wait to be written
     :param options: of aiohttp's reader of requests, for connections yet to come
     """
 
     first_s: float = FIRST_S
     idle_s: float | None = None
+    write_s: float = 0.0
     options: dict[str, int] = field(default_factory=dict)
 
 
@@ -90,6 +92,11 @@
         """Close it unless bytes of a command wait unread; its place is free at once."""
         if self.wire.is_closing() or unread(self.wire):
             return False
+        if (
+            self.wire.get_write_buffer_size()
+            and self.door.loop.time() < self.since + self.door.bounds.write_s
+        ):
+            return False
         self.door.links.discard(self)
         self.wire.abort()  # an orderly close would wait for a client that reads nothing
         return True
