--- a/vetchusher/hive/process.py
+++ b/vetchusher/hive/process.py
@@ -90,7 +90,7 @@
         node = self.node
         opened = Store.open(node.data_directory)
         if isinstance(opened, Failure):
-            return opened.failure().text
+            return str(opened.failure().text)
         store = opened.unwrap()
         loaded = store.load()
         kept, first_start = None, node.first_start
--- a/vetchusher/hive/saving.py
+++ b/vetchusher/hive/saving.py
@@ -13,7 +13,7 @@
 
 
 class Saving:
-    """Owner of the store while the process runs.  Records are whole: of several that wait the last is written."""
+    """Owner of the store while the process runs.  Records are whole: of several the last is written."""
 
     def __init__(
         self,
