--- a/vetchusher/hive/cli.py
+++ b/vetchusher/hive/cli.py
@@ -16,7 +16,6 @@
 from typing import Any
 
 import fire  # type: ignore[import-untyped]
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from vetchusher import __version__
@@ -88,7 +87,7 @@
     if not path:
         return report([bad(f"no settings: give --config or set {CONFIG}")])
     settings = read_node(path)
-    if not is_successful(settings):
+    if isinstance(settings, Failure):
         return report([Failure(settings.failure())])
     from .log import start_logging
 
@@ -107,11 +106,11 @@
 def report(lines: Sequence[Result[str, Fault]]) -> int:
     """Good lines to standard output, others to standard error; the code of both."""
     for line in lines:
-        if is_successful(line):
-            print(line.unwrap())
-        else:
+        if isinstance(line, Failure):
             print(f"vetchusher: {line.failure().text}", file=sys.stderr)
-    return 0 if all(map(is_successful, lines)) else UNUSABLE
+        else:
+            print(line.unwrap())
+    return UNUSABLE if any(isinstance(line, Failure) for line in lines) else 0
 
 
 def bad(text: str, kind: Kind = Kind.BAD_SETTINGS) -> Result[str, Fault]:
--- a/vetchusher/hive/orders.py
+++ b/vetchusher/hive/orders.py
@@ -17,7 +17,6 @@
 import orjson
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from vetchusher.kinds import Fault, Kind
@@ -167,7 +166,7 @@
 
 def written(outcome: Result[Answer, Fault]) -> web.Response:
     """The one way from an outcome to what the caller gets."""
-    if is_successful(outcome):
+    if not isinstance(outcome, Failure):
         answer = outcome.unwrap()
         return web.Response(body=WRITERS[type(answer)](answer), content_type="application/json")
     fault = outcome.failure()
@@ -301,8 +300,8 @@
 
     async def settled(self, way: Way, asked: Asked) -> web.Response:
         call = way.read(asked)
-        if not is_successful(call):
-            return written(Failure(call.failure()))
+        if isinstance(call, Failure):
+            return written(call)
         try:
             async with asyncio.timeout(SETTLE_S):
                 return written(await self.settle(call.unwrap()))
