--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -9,14 +9,18 @@
 import re
 import tempfile
 import tomllib
+from types import SimpleNamespace
+from unittest import mock
 
 import testtools
 from hypothesis import given
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
+from returns.result import Success
 from testtools.matchers import Contains, Equals
 
+from vetchusher import comb
 from vetchusher.events import Event, Note
 from vetchusher.hive import cli, log
 from vetchusher.kinds import Kind
@@ -25,6 +29,7 @@
 from vetchusher.settings.document import misfit
 from vetchusher.settings.node import node_of, read_node
 from vetchusher.waggle.rows import configuration_of, evacuated_of, rows_of
+from vetchusher.waggle.wire_pb2 import CombState, Stamp
 
 NODE = """
 node_name = "keeper-1"
@@ -120,6 +125,7 @@
     ("routes.0.path_prefix", "/b/", ".routes: 'shop.example/b/' stands there 2 times"),
     ("routes.0.host", "a\r\nb", ".routes[0].host: 'a\\r\\nb' has control characters"),
     ("routes.0.host", "\udc00", ""),
+    ("routes.0.host", "a/b", ".routes[0].host: 'a/b' has a slash"),
     ("routes.+", ROUTE | {"host": "SHOP.EXAMPLE"}, ".routes: 'shop.example/a/' stands there 2 times"),
     ("services.1.name", "one", ".services: 'one' stands there 2 times"),
     ("subscribers.1.name", "ten", ".subscribers: 'ten' stands there 2 times"),
@@ -393,6 +399,29 @@
         code, out, err = self.call("check", f"--configuration={bad}")
         self.assertThat((code, out, len(err.splitlines())), Equals((2, "", 1)))
 
+    def test_a_store_is_looked_into_by_a_copy(self):
+        state = CombState(stamp=Stamp(epoch=4, seq=9), version=41, configuration=b"{}", members=["10.2.0.5"])
+        state.evacuations.add(zone="north-1", on=True, order=3)
+
+        class Store:
+            @classmethod
+            def open(cls, folder):
+                (pathlib.Path(folder) / "store").write_text("mended")
+                return Success(cls())
+
+            def load(self):
+                return Success(SimpleNamespace(promised=5, state=state))
+
+        (self.folder / "store").write_text("as it was")
+        with mock.patch.object(comb, "Store", Store, create=True):
+            code, out, _ = self.call("inspect", str(self.folder))
+        told = json.loads(out)
+        self.assertThat(
+            (code, told["promised"], told["stamp"], told["version"]), Equals((0, 5, "4.9", "r41"))
+        )
+        self.assertThat(told["evacuations"], Equals({"north-1": "on, order 3"}))
+        self.assertThat((self.folder / "store").read_text(), Equals("as it was"))
+
     def test_a_misspelt_flag_is_turned_down_before_anything_runs(self):
         for argv in (
             ("run", "--confg", "x"),
