--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -219,7 +219,27 @@
 def values():
     """A value that may stand anywhere, or its absence."""
     plain = st.sampled_from(
-        [..., None, True, 0, 1, -1, 0.5, 2, "", "one", "/x/", "safe", [], [""], ["x"], {}]
+        [
+            ...,
+            None,
+            True,
+            0,
+            1,
+            -1,
+            0.5,
+            2,
+            "",
+            "one",
+            "r1\n",
+            "/x/",
+            "/\n/",
+            "a:1\n",
+            "safe",
+            [],
+            [""],
+            ["x"],
+            {},
+        ]
     )
     return plain | st.integers(-3, 3) | st.text(max_size=3)
 
