Split the decision file by concern: quota, choice, repeats, refusals

vetchusher/policy.py becomes a package, a file a concern, with the tuned figures beside the code that uses them; __init__.py is the face (AdmissionPolicy) and hands each event to its file. What an effect class allows stands alone in moves.py; the record of a request stands with the other records in state.py. Requests under way and the budget of repeats have one owner, Repeats.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -97,7 +97,7 @@
     gate = Gate(replace(POST_PAID, plans=(free,)))
     gate.policy.fleet.shedding.late = 0.0
     gate.settle_reads()
-    while not (jobs := [j for j in gate.policy.jobs.values() if not j.counts]):
+    while not (jobs := [j for j in gate.policy.repeats.jobs.values() if not j.counts]):
         assert gate.passes(units=1.0)
     before = [w.cur.count() + w.prev.count() for w in gate.policy.quota.customers.values()]
     settle(gate, next(s for s in gate.sends if s.request == jobs[0].id), 8.0)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -284,7 +284,7 @@
         gate.advance(SECOND)
         service.serve(gate)
     assert not gate.policy.quota.customers
-    assert not gate.policy.jobs
+    assert not gate.policy.repeats.jobs
 
 
 def test_without_a_counter_each_gateway_holds_its_share():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -75,7 +75,7 @@
     gate.advance(10 * SECOND)
     assert len(gate.sends) == 1
     assert gate.end(gate.sends[-1], Outcome.RESET, over=True) == []
-    assert not gate.policy.jobs
+    assert not gate.policy.repeats.jobs
 
 
 def test_nothing_after_the_client_left():
@@ -162,7 +162,7 @@
         for rid in [r for r in ended if None in ended[r]]:
             finish(rid, ended[rid].index(None), Outcome.TIMEOUT)
     assert all(finals.get(r, 0) + (r in served) == 1 for r in classes)
-    assert not gate.policy.jobs
+    assert not gate.policy.repeats.jobs
 
 
 def test_drains_and_removals_take_effect_at_once():
@@ -537,7 +537,7 @@
             gate.end(send, outcomes[step % 5])
         quota = gate.policy.quota
         waiting = {id(job) for name, jobs in quota.held.items() if name in quota.calls for job in jobs}
-        for job in gate.policy.jobs.values():
+        for job in gate.policy.repeats.jobs.values():
             kept += 1
             assert job.over or job.out or id(job) in waiting
     assert kept > 200
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -434,14 +434,15 @@
 def test_failure_of_the_module_fails_its_own_command_only():
     async def scene():
         async with stage(lambda a: OK) as (node, port, _):
-            arrived = node.runtime.reducer.policy.request_arrived
+            refusals = node.runtime.reducer.policy.refusals
+            arrived = refusals.request_arrived
 
             def broken(now, event, acts):
                 if event.customer == 13:
                     raise RuntimeError("broken")
                 arrived(now, event, acts)
 
-            node.runtime.reducer.policy.request_arrived = broken
+            refusals.request_arrived = broken
             assert (await ask(port, Api_Customer=f"{13:016x}"))[0] == 502
             assert (await ask(port))[0] == 200
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -240,10 +240,10 @@
 
 
 def test_module_stays_reviewable():
-    lines = (ROOT / "vetchusher/policy.py").read_text().splitlines()
-    assert sum(bool(line.strip()) for line in lines) <= 800
-    assert "vetchusher/interface.py" in lines[0]
-    for path in (ROOT / "vetchusher").glob("*.py"):
+    policy = sorted((ROOT / "vetchusher/policy").glob("*.py"))
+    assert sum(bool(line.strip()) for path in policy for line in path.read_text().splitlines()) <= 800
+    assert "vetchusher/interface.py" in policy[0].read_text().splitlines()[0]
+    for path in [*policy, *(ROOT / "vetchusher").glob("*.py")]:
         assert max((len(line) for line in path.read_text().splitlines()), default=0) <= 110
 
 
--- a/vetchusher/interface.py
+++ b/vetchusher/interface.py
@@ -320,3 +320,4 @@
     | Deliver
     | AskEngine
 )
+Actions = list[Action]
--- a/vetchusher/state.py
+++ b/vetchusher/state.py
@@ -1,4 +1,4 @@
-"""What a gateway remembers: plain records, read and written by vetchusher/policy.py, which decides."""
+"""What a gateway remembers: plain records, read and written by vetchusher/policy/, which decides."""
 
 from __future__ import annotations
 
@@ -122,6 +122,26 @@
     judged: bool = False  # whether it was late has been noted
 
 
+@dataclass(slots=True)
+class Job:
+    """One accepted request; what it may still do: vetchusher/policy/moves.py."""
+
+    id: int
+    class_id: int
+    spec: api.RequestClass
+    who: Customer
+    units: float
+    deadline: int
+    may_duplicate: bool
+    attempts: list[Attempt] = field(default_factory=list)
+    out: int = 0
+    over: bool = False
+    streaming: bool = False
+    held_in: Window | None = None  # its units stand there before it passed
+    luck: float = 1.0  # its one draw against shedding, made before any wait
+    counts: bool = True  # its units are in the quota's windows
+
+
 LOG_PAUSE_US = 1_000_000  # us between two log lines of a kind
 
 
@@ -131,7 +151,7 @@
     def __init__(self) -> None:
         self.last: dict[str, int] = {}
 
-    def add(self, now: int, acts: list[api.Action], kind: str, text: str) -> None:
+    def add(self, now: int, acts: api.Actions, kind: str, text: str) -> None:
         if now - self.last.get(kind, -LOG_PAUSE_US) >= LOG_PAUSE_US:
             self.last[kind] = now
             acts.append(api.Log(text))
