--- a/vetchusher/limits/tally.py
+++ b/vetchusher/limits/tally.py
@@ -14,11 +14,11 @@
 from vetchusher.settings.configuration import Tenant
 from vetchusher.waggle.wire_pb2 import Passed, Push, Total, Totals
 
-from .windows import Bounds, Counts, Shape, estimate, idle_part, shape_of
+from .windows import Bounds, Counts, Shape, estimate, first_of, part_of, shape_of
 
-STALE_US = 600_000  # us from sending a push that its answer's word holds
+STALE_US = 800_000  # us from sending a push that its answer's word holds
 UNANSWERED_US = 400_000  # us without an answer after which the next may come from a new holder
-BEAT_US = 400_000  # us between two pushes at most: the holder keeps back parts for the silent
+BEAT_US = 250_000  # us between two pushes at most: the holder keeps back parts for the silent
 ALONE_US = 58_000_000  # us without an answer after which the core may count this ingress as gone
 AGAIN_US = 300_000  # us after which a count is told again that no answer has confirmed
 MOST_SENT = 16  # pushes without an answer that are remembered
@@ -122,16 +122,14 @@
         """Bring the ceiling up to date where no word of the holder holds."""
         if now < own.until:
             return
-        part = idle_part(own.shape, self.ingresses)
         if now - self.whole_at < STALE_US and own.named != self.heard_number and own.acked == own.count:
             # In touch, all told, and the tenant is not short: what is kept back, a whole request at least.
-            own.ceiling, own.part_at = own.count + max(1.0, part), now
+            own.ceiling, own.part_at = own.count + first_of(own.shape, self.ingresses), now
             return
         # Danger: cut off from the totals, all ingresses together must stay within the quota.
-        begins = max(own.part_at, own.until)
-        grown = own.shape.gained(now - begins) / self.ingresses if self.ingresses else 0.0
-        left = min(own.ceiling - own.count, part) if own.until > own.part_at else own.ceiling - own.count
-        own.ceiling = own.count + max(left, min(part, left + grown))
+        part = part_of(own.shape, self.ingresses)
+        grown = own.shape.gained(now - max(own.part_at, own.until)) / max(1, self.ingresses)
+        own.ceiling = own.count + min(part, own.ceiling - own.count + grown * (self.ingresses > 0))
         own.part_at = now
 
     def push(self, now: int) -> Push | None:
--- a/vetchusher/limits/totals.py
+++ b/vetchusher/limits/totals.py
@@ -19,7 +19,7 @@
 from vetchusher.waggle.wire_pb2 import Passed, Push, Total, Totals
 
 from .tally import NEVER, STALE_US
-from .windows import PART_KEPT, Bounds, Counts, Shape, idle_part, shape_of
+from .windows import Bounds, Counts, Shape, first_of, kept_of, shape_of
 
 SILENT_US = 500_000  # us after which a part is kept back for an ingress that says nothing
 WHOLE_US = 1_000_000  # us after its start when a holder goes on without those that said nothing
@@ -27,6 +27,7 @@
 LOOK_US = 50_000  # us between two looks at who is silent
 SHARE_US = 1_000_000  # us in which the weight of what an ingress passed falls to a third
 EVEN_PART = 0.2  # of what is divided: evenly among those that ask, as traffic moves
+NEED, NEED_LEAST = 0.7, 2.0  # of what it passed lately, and requests: all that an ingress is given
 WANT = 0.5  # requests that a refused one counts for, in the shares
 MOST_LIVES = 4  # of one ingress that are remembered
 
@@ -177,8 +178,8 @@
 
     def free(self, pool: Pool) -> float:
         """What nobody has been given, nor is kept for those without a word."""
-        idle = max(0, self.ingresses - pool.active) * idle_part(pool.shape, self.ingresses)
-        return pool.level + pool.shape.ahead - pool.out - idle
+        idle = max(0, self.ingresses - pool.active) / self.ingresses
+        return pool.level + pool.shape.ahead - pool.out - idle * kept_of(pool.shape, self.ingresses)
 
     # -- pushes -----------------------------------------------------------------------
 
@@ -263,10 +264,11 @@
     def is_tight(self, now: int, pool: Pool) -> bool:
         """Whether parts without a word cannot be borne."""
         self.refill(now, pool)
-        left = pool.level + pool.shape.ahead
-        needed = PART_KEPT * (pool.shape.depth + pool.shape.ahead)
-        # Danger: those told to pass nothing have their parts again when it ends.
-        pool.tight = left - pool.out < needed if pool.tight else min(left - needed, self.free(pool)) < 0.0
+        kept = kept_of(pool.shape, self.ingresses)
+        if pool.tight:
+            # Danger: those told to pass nothing have their parts again when it ends.
+            kept += max(0.0, pool.out - pool.active * first_of(pool.shape, self.ingresses))
+        pool.tight = pool.level + pool.shape.ahead < kept
         return pool.tight
 
     def word(self, now: int, name: str, source: Source, asked: bool) -> Total:
@@ -277,7 +279,7 @@
         if given is None:
             # A ceiling below any count.
             given = source.given[name] = Given(0, 0, known=False, used_at=now)
-        may = self.share(pool, given, now) if asked else 0
+        may = self.share(pool, given, now, asked)
         held = given.until > NEVER
         if held:
             pool.out -= given.left()
@@ -295,13 +297,19 @@
             total.into_us, total.length_us = now % pool.shape.length_us, pool.shape.length_us
         return total
 
-    def share(self, pool: Pool, given: Given, now: int) -> int:
-        part = idle_part(pool.shape, self.ingresses)
-        mine = given.left() if given.until > NEVER else part
-        free = self.free(pool) + mine
-        base = 0.0 if pool.tight else part
+    def share(self, pool: Pool, given: Given, now: int, asked: bool) -> int:
+        kept = kept_of(pool.shape, self.ingresses) / self.ingresses
+        free = self.free(pool) + (given.left() if given.until > NEVER else kept)
+        if not asked:
+            # Danger: a tenant of few requests comes now here, now there.
+            return int(given.known and free >= 1.0 + given.left())
+        base = 0.0 if pool.tight else kept
         divided = pool.level + pool.shape.ahead - base * self.ingresses
-        own = faded(given.used, now - given.used_at) / max(1e-9, faded(pool.used, now - pool.used_at))
-        share = (1.0 - EVEN_PART) * min(1.0, own) + EVEN_PART / max(1, pool.active)
-        may = min(free, base + share * max(0.0, divided))
+        mine = faded(given.used, now - given.used_at)
+        share = mine / max(1e-9, faded(pool.used, now - pool.used_at))
+        share = (1.0 - EVEN_PART) * min(1.0, share) + EVEN_PART / max(1, pool.active)
+        # Danger: what lies unused at one ingress is missing where the next request comes.
+        may = min(free, base + min(share * max(0.0, divided), NEED_LEAST + NEED * mine))
+        if not pool.tight:
+            return int(max(may, first_of(pool.shape, self.ingresses)))
         return int(may) if may >= 1.0 else int(free >= 1.0)
--- a/vetchusher/limits/windows.py
+++ b/vetchusher/limits/windows.py
@@ -69,13 +69,34 @@
 
 
 PART_KEPT = 0.6  # of depth and ahead: what ingresses without a word may take, all together
+RUSH, RUSH_S = 6.0, 0.3  # times the rate that a tenant may suddenly send, and how long until all know
+LOOSE, LOOSE_FIRST = (
+    0.8,
+    3.0,
+)  # of depth and ahead: a smaller rush is borne, whoever takes it; then so many each
 
 
-def idle_part(shape: Shape, ingresses: int) -> float:
-    """What an ingress may pass that has no word on a tenant: all such parts are kept back for them."""
+def part_of(shape: Shape, ingresses: int) -> float:
+    """What an ingress may pass that is cut off, however many are: all such parts fit together."""
     return PART_KEPT * (shape.depth + shape.ahead) / max(1, ingresses)
 
 
+def rush_of(shape: Shape) -> float:
+    """What may come in at all ingresses together before they hear that little is left."""
+    return RUSH * RUSH_S * shape.rate
+
+
+def first_of(shape: Shape, ingresses: int) -> float:
+    """What an ingress in touch may pass that has no word on a tenant: at least a request."""
+    loose = rush_of(shape) <= LOOSE * (shape.depth + shape.ahead)
+    return max(LOOSE_FIRST if loose else 1.0, part_of(shape, ingresses) // 1.0)
+
+
+def kept_of(shape: Shape, ingresses: int) -> float:
+    """What is kept back for ingresses without a word: what they may take, or what can come to them."""
+    return min(ingresses * first_of(shape, ingresses), rush_of(shape))
+
+
 class Counts:
     """What passed in the current window and in the one before, on the clock of whoever counts."""
 
