Start sooner and keep what was told on disk

After a loss of power all machines served nothing for 2 s: a voter gives no promise for a lease after its start, and ingresses had no configuration until a primary stood.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -36,7 +36,7 @@
 from vetchusher.interface import Outcome
 from vetchusher.net import effects as fx
 from vetchusher.net import links
-from vetchusher.net.protocol import MOST_BODY
+from vetchusher.net.plain import MOST_BODY
 
 ODD = "/a%2Fb//c%20d;e/%c3%a5?x=%20+&&y=;z&q=a%3Db?"
 
--- a/tests/test_streamed.py
+++ b/tests/test_streamed.py
@@ -6,7 +6,7 @@
 from net_helpers import PERIOD, Discovery, Peer, answer, counting, entry, ingress, run
 
 from vetchusher.emulator.messages import read_message
-from vetchusher.net.protocol import MOST_BODY
+from vetchusher.net.plain import MOST_BODY
 
 SIZE = 40 * MOST_BODY
 
--- a/vetchusher/hive/__main__.py
+++ b/vetchusher/hive/__main__.py
@@ -7,7 +7,18 @@
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
 os.environ.setdefault("SSL_CERT_DIR", os.devnull)
 
-from vetchusher.hive.cli import main  # noqa: E402 - after the settings above
+
+def main(argv: list[str]) -> int:
+    """The platform's own call, `run` alone, is what restarts are made of: it goes round the command line's
+    library, a seventh of a start."""
+    if argv == ["run"]:
+        from vetchusher.hive.start import start
+
+        return start(os.environ.get("VETCHUSHER_CONFIG", ""))
+    from vetchusher.hive.cli import main
+
+    return main(argv)
+
 
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/vetchusher/hive/cli.py
+++ b/vetchusher/hive/cli.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import importlib
 import json
 import os
 import pathlib
@@ -20,10 +19,9 @@
 
 from vetchusher import __version__
 from vetchusher.kinds import Fault, Kind
-from vetchusher.settings.node import SCHEMA, NodeSettings, node_of, read_node, read_tree
+from vetchusher.settings.node import SCHEMA, NodeSettings, node_of, read_tree
 
-CONFIG = "VETCHUSHER_CONFIG"
-UNUSABLE = 2
+from .start import CONFIG, UNUSABLE, start
 
 
 class Todo:
@@ -48,7 +46,7 @@
         Args:
             config: the settings file; without it the one that $VETCHUSHER_CONFIG names
         """
-        return Todo(lambda: run(str(config) or os.environ.get(CONFIG, "")))
+        return Todo(lambda: start(str(config) or os.environ.get(CONFIG, "")))
 
     def check(self, settings: str = "", configuration: str = "", data: str = "") -> Todo:
         """Say in a line what each file or folder holds, or what is wrong with it (code 2).
@@ -83,20 +81,6 @@
     return found._do() if isinstance(found, Todo) else 0
 
 
-def run(path: str) -> int:
-    if not path:
-        return report([bad(f"no settings: give --config or set {CONFIG}")])
-    settings = read_node(path)
-    if isinstance(settings, Failure):
-        return report([Failure(settings.failure())])
-    from .log import start_logging
-
-    start_logging()
-    # Loaded only here: it brings the sockets, and all that a process of this role needs.
-    process = importlib.import_module("vetchusher.hive.process")
-    return int(process.run(settings.unwrap(), path))
-
-
 def check(settings: str, configuration: str, data: str) -> int:
     asked = ((settings, checked_settings), (configuration, checked_configuration), (data, checked_data))
     lines = [look(path) for path, look in asked if path]
--- a/vetchusher/hive/following.py
+++ b/vetchusher/hive/following.py
@@ -8,7 +8,7 @@
 
 from vetchusher.events import Note
 from vetchusher.waggle import wire_pb2 as wire
-from vetchusher.waggle.follower import Follower, Send, SendBeat
+from vetchusher.waggle.follower import Follower, Send, SendBeat, SendPull
 
 from .paths import Paths
 
@@ -36,22 +36,27 @@
 
     def carry(self, sends: Sequence[Send]) -> None:
         for send in sends:
-            work = self.beat(send.to) if isinstance(send, SendBeat) else self.pull(send)
+            work = self.beat(send) if isinstance(send, SendBeat) else self.pull(send)
             task = self.paths.loop.create_task(work)
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def beat(self, to: str) -> None:
-        sent_at = self.standing.now()
-        answer = await self.paths.ask(to, wire.Frame(beat=self.standing.beat()), BEAT_S)
+    async def beat(self, send: SendBeat) -> None:
+        sent_at, beat = self.standing.now(), self.standing.beat()
+        beat.wants_news = send.wants_news
+        answer = await self.paths.ask(send.to, wire.Frame(beat=beat), BEAT_S)
         told = answer.beat_heard if answer is not None and answer.WhichOneof("body") == "beat_heard" else None
-        self.carry(self.follower.heard_beat(self.standing.now(), to, sent_at, told))
+        if told is not None and told.HasField("news"):
+            self.taken(0, told.news)
+        self.carry(self.follower.heard_beat(self.standing.now(), send.to, sent_at, told))
 
-    async def pull(self, send: Send) -> None:
-        assert not isinstance(send, SendBeat)
+    async def pull(self, send: SendPull) -> None:
         answer = await self.paths.ask(send.to, wire.Frame(pull=send.pull), PULL_S)
         told = answer.news if answer is not None and answer.WhichOneof("body") == "news" else None
-        changed, notes = self.follower.heard_news(send.number, told)
+        self.taken(send.number, told)
+
+    def taken(self, number: int, told: wire.News | None) -> None:
+        changed, notes = self.follower.heard_news(number, told)
         for note in notes:
             self.standing.note(note)
         self.standing.news_taken(changed)
--- a/vetchusher/hive/front.py
+++ b/vetchusher/hive/front.py
@@ -37,7 +37,7 @@
 from vetchusher.kinds import Fault, Kind
 from vetchusher.net.door import Bounds, ClientLink, Door
 from vetchusher.net.links import Streamed
-from vetchusher.net.protocol import seconds_text
+from vetchusher.net.plain import seconds_text
 from vetchusher.scouts.server import Server
 from vetchusher.settings.configuration import ClientLimits, Configuration
 
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from returns.result import Failure, Result, Success
 
@@ -19,8 +19,9 @@
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
-from vetchusher.waggle.ledger import Ledger, vector_of
+from vetchusher.waggle.ledger import NEVER, Ledger, vector_of
 from vetchusher.waggle.rows import rows_of
+from vetchusher.waggle.shelf import Shelf, whole
 
 from . import orders
 from .following import Following
@@ -33,6 +34,7 @@
 PASS_ON_S = 2.5  # for the primary's answer to an order passed on
 TTL_S = 2
 MOST_WATCHERS = 2048
+SHELF_PAUSE_S = 0.25  # between two writes of what has been told
 
 
 class Keeper:
@@ -43,6 +45,7 @@
         paths: Paths,
         store: comb.Store,
         kept: comb.Kept | None,
+        shelf: Shelf | None,
         rng: random.Random,
         now: Callable[[], int],
         note: Callable[[Note], None],
@@ -56,7 +59,7 @@
         self.presence = Presence()
         self.comb, self.scouts = Ledger("comb"), Ledger("scouts")
         self.sources = {"comb": self.comb, "scouts": self.scouts}
-        self.follower = Follower(seeds, {"scouts": self.scouts, "comb": Ledger("comb")}, node.ip_address)
+        self.follower = Follower(seeds, {"scouts": self.scouts}, node.ip_address)
         self.configuration: Configuration | None = None
         self.configuration_raw = b""
         self.watchers: dict[str, Channel] = {}  # by ip: to whom a grown vector is told unasked
@@ -66,6 +69,15 @@
         self.holder: Holder | None = None
         self.platform = Platform(node.cloud_api)
         self.following = Following(self.paths, self.follower, self)
+        self.shelf = shelf
+        self.shelved: dict[str, tuple[int, int]] = {}  # stamps of what is on the shelf
+        self.shelving: asyncio.Task[None] | None = None
+        if shelf is not None:
+            match shelf.load(self.sources):
+                case Success(names):
+                    self.shelved = {name: self.sources[name].stamp for name in names}
+                case Failure(fault):
+                    note(Note(Event.STORE_FAILED, {"why": fault.text}))
 
     # -- inputs of the control state ----------------------------------------------------
 
@@ -120,9 +132,12 @@
                 self.note(note)
             if frame.beat.ip in self.watchers or len(self.watchers) < MOST_WATCHERS:
                 self.watchers[frame.beat.ip] = channel
-            channel.reply(frame, wire.Frame(beat_heard=self.heard()))
+            heard = self.heard()
+            if frame.beat.wants_news:
+                heard.news.CopyFrom(self.news(frame.beat.vector))
+            channel.reply(frame, wire.Frame(beat_heard=heard))
         elif kind == "pull":
-            channel.reply(frame, wire.Frame(news=self.news(frame.pull)))
+            channel.reply(frame, wire.Frame(news=self.news(frame.pull.vector)))
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
@@ -142,9 +157,9 @@
             ingresses=len(self.presence.may_serve()),
         )
 
-    def news(self, pull: wire.Pull) -> wire.News:
+    def news(self, vector: Iterable[wire.SourceAt]) -> wire.News:
         told = wire.News()
-        for at in pull.vector:
+        for at in vector:
             ledger = self.sources.get(at.source)
             if ledger is not None:
                 news = ledger.since((at.stamp.epoch, at.stamp.seq))
@@ -260,9 +275,27 @@
         if self.holder is not None:
             self.holder.fleet(now, self.presence.may_serve())
         self.carry_sends(self.follower.tick(now))
+        if self.shelf is not None and (self.shelving is None or self.shelving.done()):
+            due = [led for name, led in self.sources.items() if led.stamp > self.shelved.get(name, NEVER)]
+            if due:
+                self.shelving = self.loop.create_task(self.put_away(self.shelf, due))
         named = {*self.member.members, *self.follower.seeds} - {self.node.ip_address}
         self.paths.keep(named)
 
+    async def put_away(self, shelf: Shelf, due: list[Ledger]) -> None:
+        """Keep what has been told, off the loop; a disk that refuses is tried again after a while."""
+        for ledger in due:
+            news = whole(ledger)
+            if news is None:
+                continue
+            outcome = await self.loop.run_in_executor(self.saving.thread, shelf.save, news)
+            if isinstance(outcome, Failure):
+                self.note(Note(Event.STORE_FAILED, {"why": outcome.failure().text}))
+                await asyncio.sleep(SHELF_PAUSE_S)
+                return
+            self.shelved[ledger.source] = (news.stamp.epoch, news.stamp.seq)
+        await asyncio.sleep(SHELF_PAUSE_S)
+
     def begin_duties(self, now: int) -> None:
         epoch = self.member.epoch
         if self.holder is None:
--- a/vetchusher/hive/orders.py
+++ b/vetchusher/hive/orders.py
@@ -21,7 +21,7 @@
 
 from vetchusher.kinds import Fault, Kind
 from vetchusher.net.door import ClientLink, Door
-from vetchusher.net.protocol import seconds_text
+from vetchusher.net.plain import seconds_text
 
 log = logging.getLogger("vetchusher")
 
--- a/vetchusher/hive/process.py
+++ b/vetchusher/hive/process.py
@@ -83,6 +83,7 @@
 
     async def begin_keeper(self) -> str:
         from vetchusher.comb import Store
+        from vetchusher.waggle.shelf import Shelf
 
         from .keeper import Keeper
         from .orders import ControlDoor, DirectoryDoor
@@ -103,7 +104,12 @@
                 first_start = False
         if not first_start:
             node = replace(node, first_start=False)
-        keeper = Keeper(self.loop, node, self.paths, store, kept, self.rng, steady_us, self.note)
+        shelf = Shelf.open(node.data_directory)
+        if isinstance(shelf, Failure):
+            self.note(Note(Event.STORE_FAILED, {"why": shelf.failure().text}))
+        keeper = Keeper(
+            self.loop, node, self.paths, store, kept, shelf.value_or(None), self.rng, steady_us, self.note
+        )
         self.parts.append(keeper)
         if node.listen.control is not None:
             self.doors.append(ControlDoor(keeper.settle, node.listen.control))
--- a/vetchusher/hive/tries.py
+++ b/vetchusher/hive/tries.py
@@ -19,7 +19,7 @@
 from vetchusher.foragers.headers import ATTEMPT_ID, NOT_EXECUTED, SEAL, Headers, passed_back
 from vetchusher.foragers.request import Send
 from vetchusher.net.links import Link, Links, NeverSent, Streamed, Ways, open_session, sending, target_url
-from vetchusher.net.protocol import MOST_BODY
+from vetchusher.net.plain import MOST_BODY
 
 log = logging.getLogger("vetchusher")
 
--- a/vetchusher/net/instances.py
+++ b/vetchusher/net/instances.py
@@ -27,7 +27,8 @@
     target_url,
     unread,
 )
-from .protocol import address_text, attempt_outcome, seconds_text, settled_units
+from .plain import seconds_text
+from .protocol import address_text, attempt_outcome, settled_units
 from .runtime import Runtime
 
 log = logging.getLogger("vetchusher")
--- a/vetchusher/net/links.py
+++ b/vetchusher/net/links.py
@@ -18,7 +18,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
-from .protocol import MOST_BODY
+from .plain import MOST_BODY
 
 MOST_HEAD = 16 * 1024
 # Answers reach 32 MB on the operators' days; one that claims far more is spoilt (a 3 GB claim that keeps
--- a/vetchusher/net/protocol.py
+++ b/vetchusher/net/protocol.py
@@ -13,7 +13,6 @@
 
 from vetchusher import interface as api
 
-MOST_BODY = 64 * 1024
 MOST_WAIT_S = 3600.0  # a client that says it waits longer than this is taken to be mistaken
 MOST_TTL_MS = 60_000
 MOST_CUSTOMERS = 1 << 33
@@ -140,11 +139,6 @@
     return max(1, int(float(text) * 1e6))
 
 
-def seconds_text(span: int) -> str:
-    """Microseconds as seconds with decimals, never below nothing."""
-    return f"{max(0, span) / 1e6:.3f}"
-
-
 def attempt_outcome(status: int, headers: Mapping[str, str]) -> int:
     """How an attempt ended whose answer has come whole."""
     if status == 200:
--- a/vetchusher/net/server.py
+++ b/vetchusher/net/server.py
@@ -14,7 +14,8 @@
 from .door import FIRST_S, ClientLink, Door
 from .instances import Payload
 from .links import Streamed
-from .protocol import MOST_BODY, CommandReader, Rejected, seconds_text
+from .plain import MOST_BODY, seconds_text
+from .protocol import CommandReader, Rejected
 from .runtime import Runtime
 
 log = logging.getLogger("vetchusher")
--- a/vetchusher/waggle/follower.py
+++ b/vetchusher/waggle/follower.py
@@ -14,6 +14,7 @@
 from .ledger import NEVER, Ledger, Stamped, stamp_of, vector_of
 
 BEAT_US = 500_000
+EAGER_US = 150_000  # the same, to one that has not answered yet: after a loss of power all start together
 PULL_PATIENCE_US = 1_500_000  # a pull that is not answered by then is made elsewhere
 FRESH_US = 1_500_000  # since the sending of a beat that a machine with a majority behind it answered
 CONTACT_US = 5_000_000  # what a core machine that has not answered for so long once said counts no longer
@@ -22,7 +23,10 @@
 
 @dataclass(slots=True, frozen=True)
 class SendBeat:
+    """:param wants_news: what is lacked may come with the answer, which spares a way there and back"""
+
     to: str
+    wants_news: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,10 +78,13 @@
     def tick(self, now: int) -> list[Send]:
         """Beats that are due; call it at least every 100 ms."""
         sends: list[Send] = []
+        empty = self.pulling is None and any(led.stamp == NEVER for led in self.sources.values())
         for ip, contact in self.contacts.items():
-            if not contact.waiting and now - contact.beaten_at >= BEAT_US:
+            pause = BEAT_US if contact.heard_at >= 0 else EAGER_US
+            if not contact.waiting and now - contact.beaten_at >= pause:
                 contact.beaten_at, contact.waiting = now, True
-                sends.append(SendBeat(ip))
+                sends.append(SendBeat(ip, empty))
+                empty = False  # of one at a time: a whole may be large
         if self.pulling is not None and now - self.pulling[2] > PULL_PATIENCE_US:
             self.pulling = None
         return sends
@@ -95,6 +102,7 @@
             return []
         contact.waiting = False
         if answer is None:
+            contact.heard_at = -(1 << 60)
             return []
         contact.heard_at = max(contact.heard_at, sent_at)
         vector = {at.source: stamp_of(at.stamp) for at in answer.vector}
@@ -120,7 +128,7 @@
         return [SendPull(ip, self.pulls, wire.Pull(vector=vector_of(self.sources)))]
 
     def heard_news(self, number: int, news: wire.News | None) -> tuple[set[str], list[Note]]:
-        """What came of a pull: the sources that changed here."""
+        """What came of a pull (0: what came with a beat's answer): the sources that changed here."""
         if self.pulling is not None and self.pulling[0] == number:
             self.pulling = None
         changed: set[str] = set()
