--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -1,6 +1,9 @@
 """News: readers that pull deltas from any ledger end with the author's rows, whatever they skipped."""
 
+import pathlib
 import random
+import shutil
+import tempfile
 
 from testtools import TestCase
 
@@ -9,6 +12,7 @@
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import BEAT_US, FRESH_US, Follower, SendBeat, SendPull
 from vetchusher.waggle.ledger import Ledger, message_of
+from vetchusher.waggle.shelf import Shelf, whole
 
 S = 1_000_000
 
@@ -60,7 +64,7 @@
         #  1 s     1.6 ----------------------------->  not fresh until it has pulled
         #  after   (silent)                            not fresh
         follower, comb = self.follower()
-        self.assertEqual([SendBeat("a"), SendBeat("b")], follower.tick(0))
+        self.assertEqual([SendBeat("a", wants_news=True), SendBeat("b")], follower.tick(0))
         self.assertFalse(follower.fresh(0))
         (pull,) = follower.heard_beat(10, "a", 0, heard(5, True))
         self.assertIsInstance(pull, SendPull)
@@ -142,3 +146,25 @@
         self.assertEqual(["e2", "e3", "e4"], presence.name(S, "n", "n-b"))
         self.assertEqual([], presence.name(SERVING_US + 1, "n", "n-b"))
         self.assertEqual(4, len(presence.may_serve()))  # cut off from here they may still have clients
+
+
+class Shelves(TestCase):
+    def test_what_was_told_is_told_again_after_a_start_and_a_torn_file_is_begun_anew(self):
+        folder = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, folder)
+        author = Ledger("comb")
+        author.publish((3, 7), {"version": b'"r4"', "limits": b"{}"})
+        shelf = Shelf.open(folder).unwrap()
+        shelf.save(whole(author)).unwrap()
+        shelf.close()
+        again = Ledger("comb")
+        opened = Shelf.open(folder).unwrap()
+        self.assertEqual(["comb"], opened.load({"comb": again, "scouts": Ledger("scouts")}).unwrap())
+        self.assertEqual((author.stamp, author.values()), (again.stamp, again.values()))
+        # A row that was changed behind our back is not taken, a file that is none is put aside.
+        opened.base.execute("UPDATE told SET news = X'00'")
+        opened.base.commit()
+        self.assertEqual([], opened.load({"comb": Ledger("comb")}).unwrap())
+        opened.close()
+        pathlib.Path(folder, "told.sqlite3").write_bytes(b"torn" * 4096)
+        self.assertEqual([], Shelf.open(folder).unwrap().load({"comb": Ledger("comb")}).unwrap())
--- a/vetchusher/entrance/presence.py
+++ b/vetchusher/entrance/presence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass
 
 from vetchusher.events import Event, Note
@@ -59,6 +60,22 @@
                 notes.append(Note(Event.INGRESS_LOST, {"node": node}))
         return notes
 
+    def remember(self, now: int, node: str) -> None:
+        """One that the news named before this process began: it may still be serving.
+
+        Danger: a core machine that has just started would count only those that it has heard since.
+        """
+        if node not in self.ingresses and len(self.ingresses) < MOST_INGRESSES:
+            self.ingresses[node] = Ingress(node, "", "", "", "", 0, wire.STARTING, now)
+            self.lost.add(node)
+
+    def rows(self) -> dict[str, bytes]:
+        """As news: every ingress that may be serving, by name."""
+        return {
+            one.node: json.dumps([one.ip, one.zone, one.region], separators=(",", ":")).encode()
+            for one in self.ingresses.values()
+        }
+
     def may_serve(self) -> dict[str, int]:
         """When each that may have clients, those lately lost among them, was last heard (us)."""
         return {node: one.heard_at for node, one in self.ingresses.items()}
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -41,8 +41,8 @@
     ) -> None:
         self.loop, self.node, self.paths, self.now, self.note = loop, node, paths, now, note
         self.life = rng.getrandbits(62) | 1
-        self.comb, self.scouts = Ledger("comb"), Ledger("scouts")
-        self.sources = {"comb": self.comb, "scouts": self.scouts}
+        self.comb, self.scouts, self.entrance = Ledger("comb"), Ledger("scouts"), Ledger("entrance")
+        self.sources = {led.source: led for led in (self.comb, self.scouts, self.entrance)}
         self.follower = Follower([host for host, _ in node.seed_nodes], self.sources)
         self.following = Following(paths, self.follower, self)
         self.tally = Tally(node.node_name, self.life)
@@ -86,6 +86,10 @@
         now, was_ready = self.now(), self.ready()
         if "comb" in changed:
             self.configuration_came(now)
+        if "entrance" in changed:
+            ingresses = len(self.entrance.rows)
+            self.tally.fleet(now, ingresses, self.node.node_name in self.entrance.rows)
+            self.extra.fleet(ingresses)
         if "scouts" in changed:
             self.servers_came(now)
         self.front.fresh(self.follower.fresh(now))
@@ -132,10 +136,6 @@
         now = self.now()
         self.carry_sends(self.follower.tick(now))
         self.front.fresh(self.follower.fresh(now))
-        ingresses = self.follower.ingresses(now)
-        if ingresses:
-            self.tally.fleet(ingresses)
-            self.extra.fleet(ingresses)
         if self.loop.time() - self.pushed_at >= SYNC_S and len(self.pushes) < MOST_PUSHES:
             self.pushed_at = self.loop.time()
             primary, push = self.follower.primary(now), self.tally.push(now)
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -57,9 +57,10 @@
         )
         self.saving = Saving(loop, store, self.saved, note)
         self.presence = Presence()
-        self.comb, self.scouts = Ledger("comb"), Ledger("scouts")
-        self.sources = {"comb": self.comb, "scouts": self.scouts}
-        self.follower = Follower(seeds, {"scouts": self.scouts}, node.ip_address)
+        self.comb, self.scouts, self.entrance = Ledger("comb"), Ledger("scouts"), Ledger("entrance")
+        self.sources = {led.source: led for led in (self.comb, self.scouts, self.entrance)}
+        pulled = {led.source: led for led in (self.scouts, self.entrance)}
+        self.follower = Follower(seeds, pulled, node.ip_address)
         self.configuration: Configuration | None = None
         self.configuration_raw = b""
         self.watchers: dict[str, Channel] = {}  # by ip: to whom a grown vector is told unasked
@@ -154,7 +155,6 @@
             members=self.member.members,
             primary=self.member.primary,
             in_force=self.member.in_force(now),
-            ingresses=len(self.presence.may_serve()),
         )
 
     def news(self, vector: Iterable[wire.SourceAt]) -> wire.News:
@@ -274,6 +274,7 @@
             self.end_duties()
         if self.holder is not None:
             self.holder.fleet(now, self.presence.may_serve())
+            self.tell_ingresses()
         self.carry_sends(self.follower.tick(now))
         if self.shelf is not None and (self.shelving is None or self.shelving.done()):
             due = [led for name, led in self.sources.items() if led.stamp > self.shelved.get(name, NEVER)]
@@ -298,6 +299,8 @@
 
     def begin_duties(self, now: int) -> None:
         epoch = self.member.epoch
+        for name in self.entrance.rows:
+            self.presence.remember(now, name)
         if self.holder is None:
             self.holder = Holder(epoch, now)
             self.holder.fleet(now, self.presence.may_serve())
@@ -306,6 +309,15 @@
             self.note(Note(Event.TOTALS_HELD, {"epoch": epoch}))
         self.duty = self.loop.create_task(self.read_list(epoch))
 
+    def tell_ingresses(self) -> None:
+        """Who may be serving, as rows: by how many a quota is divided, and who knows whom."""
+        rows = self.presence.rows()
+        if rows != self.entrance.values():
+            epoch, seq = self.entrance.stamp
+            stamp = (self.member.epoch, seq + 1 if epoch == self.member.epoch else 1)
+            if self.entrance.publish(stamp, rows):
+                self.tell_watchers()
+
     def end_duties(self) -> None:
         self.holder = None
         if self.duty is not None:
--- a/vetchusher/limits/tally.py
+++ b/vetchusher/limits/tally.py
@@ -83,6 +83,7 @@
         self.sent_at = NEVER
         self.heard_number = 0
         self.answered_at = NEVER  # us: when the newest answered push was sent
+        self.named_at = NEVER  # us: when this ingress first learnt that it is counted among them
         self.whole_at = NEVER  # the same, of those whose answer was whole
 
     def configure(self, now: int, tenants: Mapping[str, Tenant]) -> None:
@@ -96,21 +97,37 @@
             if own is None:
                 # Danger: a tenant that comes back must not count from below what the holder has heard.
                 own = Own(shape, self.serial, self.serial, now, pushed=self.serial, acked=self.serial)
+                self.begin(now, own)
             elif own.shape != shape:
                 left = max(0.0, own.ceiling - own.count)
                 own.ceiling = own.count + left * min(1.0, shape.depth / own.shape.depth)
                 own.shape = shape
             self.own[name] = own
 
-    def fleet(self, ingresses: int) -> None:
+    def fleet(self, now: int, ingresses: int, named: bool) -> None:
+        """How many may be serving, by the rows of the news.
+
+        :param named: this ingress is one of them.  Danger: after a loss of power nobody holds totals for
+            seconds; whoever was counted before has its part, whoever was not waits for a holder
+        """
         self.ingresses = ingresses
+        if named and self.named_at == NEVER:
+            self.named_at = now
+            for own in self.own.values():
+                self.begin(now, own)
+
+    def begin(self, now: int, own: Own) -> None:
+        """A first allowance, before any total."""
+        if self.named_at != NEVER and self.answered_at == NEVER and own.until <= now:
+            own.ceiling, own.part_at = own.count + first_of(own.shape, self.ingresses), now
 
     def admit(self, now: int, tenant: str) -> bool:
         own = self.own.get(tenant)
         if own is None:
             return True
         self.settle(now, own)
-        if own.ceiling - own.count < 1.0 or now - self.answered_at > ALONE_US:
+        alone = now - max(self.answered_at, self.named_at) > ALONE_US
+        if own.ceiling - own.count < 1.0 or alone:
             own.wanted = True
             return False
         own.count += 1
--- a/vetchusher/waggle/follower.py
+++ b/vetchusher/waggle/follower.py
@@ -48,9 +48,7 @@
     heard_at: int = -(1 << 60)  # us: when the beat that it last answered was sent
     in_force_at: int = -(1 << 60)  # the same, of the last answer with a majority behind it
     in_force: dict[str, Stamped] = field(default_factory=dict)  # what that answer held
-    members: tuple[str, ...] = ()
     primary: str = ""
-    ingresses: int = 0
 
 
 class Follower:
@@ -108,7 +106,7 @@
         vector = {at.source: stamp_of(at.stamp) for at in answer.vector}
         if answer.in_force:
             contact.in_force_at, contact.in_force = max(contact.in_force_at, sent_at), vector
-            contact.primary, contact.ingresses = answer.primary, answer.ingresses
+            contact.primary = answer.primary
             members = tuple(answer.members)
             if members and members != self.members and sent_at >= self._newest_in_force():
                 self.members = members
@@ -152,13 +150,3 @@
         """Where totals are, as the newest answer says; empty where none is newer than CONTACT_US."""
         known = [c for c in self.contacts.values() if now - c.in_force_at <= CONTACT_US and c.primary]
         return max(known, key=lambda c: c.in_force_at).primary if known else ""
-
-    def ingresses(self, now: int) -> int:
-        """How many may be serving, by whichever core machine knows of most; 0: nobody has said."""
-        return max(
-            (c.ingresses for c in self.contacts.values() if now - c.in_force_at <= CONTACT_US), default=0
-        )
-
-    def alone_since(self) -> int:
-        """When the last beat was sent that anybody with a majority behind it has answered (us)."""
-        return self._newest_in_force()
