--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,7 +6,7 @@
 import socket
 from collections import Counter
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from unittest.mock import Mock
 
 import uvloop
@@ -276,6 +276,20 @@
             self.assertEqual(200, (await ask(port, "GET /safe/3"))[0])
             self.assertEqual(4, server.connections)
 
+    @scene
+    async def test_server_that_lets_nobody_connect_is_given_up_soon(self):
+        server, deaf = StandIn("i-1"), socket.socket()
+        with deaf:
+            deaf.bind(("127.0.0.1", 0))
+            deaf.listen(0)
+            with socket.create_connection(deaf.getsockname()):  # its line is full
+                async with ingress(server) as (front, port):
+                    row = replace(server.row, instance="i-2", address=f"127.0.0.1:{deaf.getsockname()[1]}")
+                    front.servers([row])
+                    self.assertEqual(503, (await ask(port, "POST /once/1", b"x", left=3000))[0])
+                    front.servers([row, server.row])
+                    self.assertEqual(200, (await ask(port, "POST /once/1", b"x"))[0])
+
     @scene
     async def test_silence_is_waited_out_and_is_no_promise(self):
         server = StandIn("i-1", moods=["silent"])
--- a/vetchusher/hive/tries.py
+++ b/vetchusher/hive/tries.py
@@ -30,6 +30,7 @@
 UNSTATED_S = 0.5  # a server that states none keeps idle connections for less than a second
 TRUSTED_S = 0.25  # idle for longer, a connection is none for what may run once only
 PROMPT_US = 250_000  # a reset before any byte of an answer and within this time: the server was full
+STALL_S = 0.03  # a timer that fires so much too late tells of a stall of this process
 USER_TIMEOUT_MS = 2_500  # unacknowledged bytes: the path is gone (a server at work acknowledges them)
 WHOLE_BODY = 256 * 1024  # from here on a body is written in the pieces in which it came
 
@@ -90,6 +91,7 @@
     sent_at: float = 0.0
     task: asyncio.Task[None] | None = None
     expiry: asyncio.TimerHandle | None = None
+    connecting: asyncio.TimerHandle | None = None
     begun: bool = False
     link: Link | None = None
     marked: bool = False  # its answer bears its id
@@ -150,8 +152,22 @@
         self.attempts.add(attempt)
         attempt.task = self.loop.create_task(self.run(attempt))
         attempt.expiry = self.loop.call_at(send.deadline / 1e6, self.expire, attempt)
+        due = attempt.sent_at + send.connect_us / 1e6
+        attempt.connecting = self.loop.call_at(due, self.unconnected, attempt, due)
         return attempt
 
+    def unconnected(self, attempt: Attempt, due: float) -> None:
+        """Give up an attempt whose connection is not up in time.
+
+        Danger: after a stall of this process its timers run before its sockets are looked at, and servers
+        would be blamed for it.
+        """
+        now = self.loop.time()
+        if now > due + STALL_S:
+            attempt.connecting = self.loop.call_at(now + STALL_S, self.unconnected, attempt, now + STALL_S)
+        elif not attempt.begun:
+            self.finish(attempt, Seen.NO_CONNECTION)
+
     def expire(self, attempt: Attempt) -> None:
         # Danger: what the closing socket still holds may be sent yet, so a request that was only partly
         # written when its time was over may run all the same.
@@ -167,8 +183,9 @@
             return False
         attempt.over = True
         self.attempts.discard(attempt)
-        if attempt.expiry is not None:
-            attempt.expiry.cancel()
+        for timer in (attempt.expiry, attempt.connecting):
+            if timer is not None:
+                timer.cancel()
         return True
 
     def finish(self, attempt: Attempt, seen: Seen, got: Got | None = None) -> None:
@@ -195,10 +212,9 @@
                 headers=CIMultiDict(send.headers),
                 data=body_of(matter.body),
                 allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(total=None, connect=max(1, send.connect_us) / 1e6),
             )
             seen, got = await self.take(attempt, response)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except aiohttp.ClientConnectorError:
             seen = Seen.NO_CONNECTION
         except NeverSent:
             seen = Seen.NOT_WRITTEN
