--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -286,7 +286,9 @@
                 async with ingress(server) as (front, port):
                     row = replace(server.row, instance="i-2", address=f"127.0.0.1:{deaf.getsockname()[1]}")
                     front.servers([row])
+                    begun = asyncio.get_running_loop().time()
                     self.assertEqual(503, (await ask(port, "POST /once/1", b"x", left=3000))[0])
+                    self.assertTrue(asyncio.get_running_loop().time() - begun < 2.0)
                     front.servers([row, server.row])
                     self.assertEqual(200, (await ask(port, "POST /once/1", b"x"))[0])
 
