Start a small system of real processes on one machine: make run

For people and for tests: two ingresses and three core machines on loopback addresses of their own, with stand-ins of the platform's list and of servers, killed, stopped, wiped and started again by their pids. make run starts it without settings; the daemon's start is make run-daemon.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build dev test lint run bench-counter-loss bench-counter-loss-sockets bench-duties bench-duties-processes bench-members \
+.PHONY: build dev test lint run run-daemon bench-counter-loss bench-counter-loss-sockets bench-duties bench-duties-processes bench-members \
 	bench-members-processes
 
 build:
@@ -14,10 +14,13 @@
 
 lint: dev
 	$(PYTHON) -m ruff check .
-	$(PYTHON) -m ruff format --check vetchusher/kinds.py vetchusher/events.py vetchusher/policy vetchusher/waggle vetchusher/comb vetchusher/scouts vetchusher/foragers vetchusher/entrance vetchusher/hive vetchusher/net vetchusher/limits vetchusher/membership vetchusher/fleet vetchusher/tier vetchusher/duties vetchusher/emulator vetchusher/settings benchmarks tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py tests/test_marks.py tests/test_membership.py tests/test_subset.py tests/test_console.py tests/test_upgrade.py tests/test_pieces.py tests/test_streamed.py tests/test_deployments.py tests/test_duties.py tests/test_duties_processes.py tests/test_members.py tests/test_members_processes.py
+	$(PYTHON) -m ruff format --check vetchusher/kinds.py vetchusher/events.py vetchusher/policy vetchusher/waggle vetchusher/comb vetchusher/scouts vetchusher/foragers vetchusher/entrance vetchusher/hive vetchusher/net vetchusher/limits vetchusher/membership vetchusher/fleet vetchusher/tier vetchusher/duties vetchusher/emulator vetchusher/settings benchmarks tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py tests/test_marks.py tests/test_membership.py tests/test_subset.py tests/test_console.py tests/test_upgrade.py tests/test_pieces.py tests/test_streamed.py tests/test_deployments.py tests/test_duties.py tests/test_duties_processes.py tests/test_members.py tests/test_members_processes.py tests/test_waggle.py tests/test_orders.py tests/test_system_settings.py tests/test_foragers.py tests/test_front.py tests/test_apiary.py
 	$(PYTHON) -m mypy
 
 run: build
+	$(PYTHON) -m vetchusher.emulator.apiary
+
+run-daemon: build
 	$(PYTHON) -m vetchusher serve
 
 bench-counter-loss: dev
--- a/vetchusher/emulator/servers.py
+++ b/vetchusher/emulator/servers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from vetchusher.scouts.reader import Listed
 from vetchusher.scouts.server import Server
 
 from .messages import read_message
@@ -28,7 +29,7 @@
 
 @dataclass(slots=True)
 class StandIn:
-    """Serves on a free port of 127.0.0.1 between `open` and `close`.
+    """Serves between `open` and `close`, on a free port where none is named.
 
     :param time_s: that it works on a request
     :param body: of its answers
@@ -52,16 +53,23 @@
     connections: int = 0
     at_work: int = 0
     most_at_work: int = 0
+    host: str = "127.0.0.1"
     port: int = 0
     listener: asyncio.Server | None = None
 
     @property
     def row(self) -> Server:
-        address = f"127.0.0.1:{self.port}"
+        address = f"{self.host}:{self.port}"
         return Server(self.instance, self.service, address, self.zone, capacity=self.capacity)
 
+    @property
+    def listed(self) -> Listed:
+        """As the platform's list has it."""
+        row = self.row
+        return Listed(row.instance, row.service, row.address, row.zone, "v1", row.capacity, False, 0)
+
     async def open(self) -> StandIn:
-        self.listener = await asyncio.start_server(self.connected, "127.0.0.1", self.port)
+        self.listener = await asyncio.start_server(self.connected, self.host, self.port)
         self.port = int(self.listener.sockets[0].getsockname()[1])
         return self
 
