Ingresses watch a small set of neighbours, by rendezvous, and have news from them

One that is cut off from the whole core but not from its fellows keeps up with servers and configurations; only core machines say what is in force.

--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -7,6 +7,7 @@
 
 from testtools import TestCase
 
+from vetchusher.entrance.neighbours import Place, neighbours
 from vetchusher.entrance.presence import SERVING_US, Presence
 from vetchusher.scouts.reader import Listed, Reader, read_page, read_row
 from vetchusher.waggle import wire_pb2 as wire
@@ -168,3 +169,32 @@
         opened.close()
         pathlib.Path(folder, "told.sqlite3").write_bytes(b"torn" * 4096)
         self.assertEqual([], Shelf.open(folder).unwrap().load({"comb": Ledger("comb")}).unwrap())
+
+
+class Neighbours(TestCase):
+    def test_each_knows_a_small_set_and_one_that_goes_moves_only_the_sets_it_was_in(self):
+        places = {f"e{n}": Place(f"10.0.0.{n}", f"z{n % 6}", f"r{n % 3}") for n in range(30)}
+        sets = {node: neighbours(node, place.region, places) for node, place in places.items()}
+        self.assertEqual({3}, {len(found) for found in sets.values()})
+        left = {node: place for node, place in places.items() if node != "e7"}
+        for node, place in left.items():
+            now = neighbours(node, place.region, left)
+            if "10.0.0.7" not in sets[node]:
+                self.assertEqual(sets[node], now)
+
+    def test_one_that_is_cut_off_from_the_core_has_news_from_a_neighbour_and_is_not_fresh(self):
+        #  core (cut)        neighbour           the ingress
+        #  |                 1.6 ------------->  pulls from it
+        #  |                                     has the news, and does not vouch for them
+        comb = Ledger("comb")
+        follower = Follower(["a"], {"comb": comb})
+        follower.watch(["n"])
+        self.assertIn(SendBeat("n"), follower.tick(0))
+        (pull,) = follower.heard_beat(10, "n", 0, heard(6, True))
+        self.assertEqual("n", pull.to)
+        author = Ledger("comb")
+        author.publish((1, 6), {"version": b"1"})
+        follower.heard_news(pull.number, wire.News(sources=[author.since((0, 0))]))
+        self.assertEqual((1, 6), comb.stamp)
+        self.assertFalse(follower.fresh(20))
+        self.assertEqual((), follower.members)
--- a/vetchusher/emulator/quota_world.py
+++ b/vetchusher/emulator/quota_world.py
@@ -229,7 +229,10 @@
             ingress.seen = self.at
             count = sum(self.at - i.seen < SEEN and i.life > 0 for i in self.ingresses)
             tally = ingress.tally
-            self.after(2 * self.way(ingress, (ingress.region + 1) % 3), lambda: tally.fleet(self.at + ingress.offset, count, False))
+            self.after(
+                2 * self.way(ingress, (ingress.region + 1) % 3),
+                lambda: tally.fleet(self.at + ingress.offset, count, False),
+            )
         self.after(BEAT, lambda: self.beat(ingress, life))
 
     def sync(self, ingress: Ingress, life: int) -> None:
--- /dev/null
+++ b/vetchusher/entrance/neighbours.py
@@ -0,0 +1,47 @@
+"""The small set of other ingresses that one knows and watches, by rendezvous hashing.
+
+Each ingress computes its own from the same rows; one more or less moves only the sets that it is or was in.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+
+NEAR, FAR = 2, 1  # of the own region, and beyond it: a region that is cut off has itself, and not only itself
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    ip: str
+    zone: str
+    region: str
+
+
+def places_of(rows: Mapping[str, bytes]) -> dict[str, Place]:
+    """Ingresses by name, as the entrance's rows tell them; those of whom no address is known are left out."""
+    found = {}
+    for node, value in rows.items():
+        try:
+            ip, zone, region = json.loads(value)
+        except (ValueError, TypeError):
+            continue
+        if ip:
+            found[node] = Place(str(ip), str(zone), str(region))
+    return found
+
+
+def rank(watcher: str, watched: str) -> bytes:
+    return blake2b(f"{watcher}\n{watched}".encode(), digest_size=8).digest()
+
+
+def neighbours(me: str, region: str, places: Mapping[str, Place]) -> list[str]:
+    """Addresses (ip) of those that the ingress `me` watches: the highest ranks, most of its region."""
+    others = sorted((node for node in places if node != me), key=lambda node: rank(me, node), reverse=True)
+    near = [node for node in others if places[node].region == region]
+    far = [node for node in others if places[node].region != region]
+    chosen = near[:NEAR] + far[:FAR]
+    rest = near[NEAR:] + far[FAR:]
+    return [places[node].ip for node in (chosen + rest)[: NEAR + FAR]]
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -8,6 +8,7 @@
 
 from returns.result import Success
 
+from vetchusher.entrance.neighbours import neighbours, places_of
 from vetchusher.events import Event, Note
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.tries import ExtraTries
@@ -16,7 +17,7 @@
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
-from vetchusher.waggle.ledger import Ledger, vector_of
+from vetchusher.waggle.ledger import Ledger, news_for, vector_of
 from vetchusher.waggle.rows import configuration_of, evacuated_of
 
 from .following import Following
@@ -59,8 +60,13 @@
     # -- keeping up -------------------------------------------------------------------------
 
     def serve(self, frame: wire.Frame, channel: Channel) -> None:
-        if frame.WhichOneof("body") == "beat_heard":
+        kind = frame.WhichOneof("body")
+        if kind == "beat_heard":
             self.carry_sends(self.follower.heard_beat(self.now(), frame.sender, 0, frame.beat_heard))
+        elif kind == "beat":  # a neighbour's, which may be cut off from the core
+            channel.reply(frame, wire.Frame(beat_heard=wire.BeatHeard(vector=vector_of(self.sources))))
+        elif kind == "pull":
+            channel.reply(frame, wire.Frame(news=news_for(self.sources, frame.pull.vector)))
 
     def carry_sends(self, sends: Sequence[Send]) -> None:
         self.following.carry(sends)
@@ -90,6 +96,8 @@
             ingresses = len(self.entrance.rows)
             self.tally.fleet(now, ingresses, self.node.node_name in self.entrance.rows)
             self.extra.fleet(ingresses)
+            places = places_of(self.entrance.values())
+            self.follower.watch(neighbours(self.node.node_name, self.node.region, places))
         if "scouts" in changed:
             self.servers_came(now)
         self.front.fresh(self.follower.fresh(now))
@@ -143,7 +151,7 @@
                 task = self.loop.create_task(self.push(primary, push))
                 self.pushes.add(task)
                 task.add_done_callback(self.pushes.discard)
-        self.paths.keep(set(self.follower.contacts))
+        self.paths.keep({*self.follower.contacts, *self.follower.neighbours})
 
     async def push(self, primary: str, push: wire.Push) -> None:
         answer = await self.paths.ask(primary, wire.Frame(push=push), PUSH_S)
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from returns.result import Failure, Result, Success
 
@@ -19,7 +19,7 @@
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
-from vetchusher.waggle.ledger import NEVER, Ledger, vector_of
+from vetchusher.waggle.ledger import NEVER, Ledger, news_for, vector_of
 from vetchusher.waggle.rows import rows_of
 from vetchusher.waggle.shelf import Shelf, whole
 
@@ -135,10 +135,10 @@
                 self.watchers[frame.beat.ip] = channel
             heard = self.heard()
             if frame.beat.wants_news:
-                heard.news.CopyFrom(self.news(frame.beat.vector))
+                heard.news.CopyFrom(news_for(self.sources, frame.beat.vector))
             channel.reply(frame, wire.Frame(beat_heard=heard))
         elif kind == "pull":
-            channel.reply(frame, wire.Frame(news=self.news(frame.pull.vector)))
+            channel.reply(frame, wire.Frame(news=news_for(self.sources, frame.pull.vector)))
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
@@ -157,16 +157,6 @@
             in_force=self.member.in_force(now),
         )
 
-    def news(self, vector: Iterable[wire.SourceAt]) -> wire.News:
-        told = wire.News()
-        for at in vector:
-            ledger = self.sources.get(at.source)
-            if ledger is not None:
-                news = ledger.since((at.stamp.epoch, at.stamp.seq))
-                if news is not None:
-                    told.sources.append(news)
-        return told
-
     def tell_watchers(self) -> None:
         """A grown vector, unasked: whoever lacks it pulls at once."""
         heard = self.heard()
--- a/vetchusher/waggle/follower.py
+++ b/vetchusher/waggle/follower.py
@@ -1,4 +1,6 @@
-"""How a process keeps up: beats to the core machines, and pulls of what it lacks by a vector of versions.
+"""How a process keeps up: beats to core machines and neighbours, and pulls by a vector of versions.
+
+Only core machines can say what is in force; a neighbour has news for one that is cut off from all of them.
 
 Pure: `tick` and the `heard_` functions return what is to be sent; whoever sends tells what became of it.
 """
@@ -15,6 +17,7 @@
 
 BEAT_US = 500_000
 EAGER_US = 150_000  # the same, to one that has not answered yet: after a loss of power all start together
+NEAR_US = 1_000_000  # the same, to a neighbour
 PULL_PATIENCE_US = 1_500_000  # a pull that is not answered by then is made elsewhere
 FRESH_US = 1_500_000  # since the sending of a beat that a machine with a majority behind it answered
 CONTACT_US = 5_000_000  # what a core machine that has not answered for so long once said counts no longer
@@ -61,6 +64,7 @@
         self.seeds: tuple[str, ...] = ()
         self.members: tuple[str, ...] = ()
         self.contacts: dict[str, Contact] = {}
+        self.neighbours: dict[str, Contact] = {}
         self.pulling: tuple[int, str, int] | None = None  # number, from whom, since when (us)
         self.pulls = 0
         self.reseed(seeds)
@@ -73,6 +77,13 @@
         wanted = [ip for ip in dict.fromkeys((*self.members, *self.seeds)) if ip != self.me][:MOST_CONTACTS]
         self.contacts = {ip: self.contacts.get(ip) or Contact() for ip in wanted}
 
+    def watch(self, ips: Iterable[str]) -> None:
+        """The neighbours from now on; at most as many as are named."""
+        self.neighbours = {ip: self.neighbours.get(ip) or Contact() for ip in ips if ip not in self.contacts}
+
+    def known(self, ip: str) -> Contact | None:
+        return self.contacts.get(ip) or self.neighbours.get(ip)
+
     def tick(self, now: int) -> list[Send]:
         """Beats that are due; call it at least every 100 ms."""
         sends: list[Send] = []
@@ -83,6 +94,10 @@
                 contact.beaten_at, contact.waiting = now, True
                 sends.append(SendBeat(ip, empty))
                 empty = False  # of one at a time: a whole may be large
+        for ip, contact in self.neighbours.items():
+            if not contact.waiting and now - contact.beaten_at >= NEAR_US:
+                contact.beaten_at, contact.waiting = now, True
+                sends.append(SendBeat(ip))
         if self.pulling is not None and now - self.pulling[2] > PULL_PATIENCE_US:
             self.pulling = None
         return sends
@@ -95,7 +110,7 @@
 
     def heard_beat(self, now: int, ip: str, sent_at: int, answer: wire.BeatHeard | None) -> list[Send]:
         """The answer to a beat sent at `sent_at`, or that there was none; a vector told unasked as well."""
-        contact = self.contacts.get(ip)
+        contact = self.known(ip)
         if contact is None:
             return []
         contact.waiting = False
@@ -104,7 +119,7 @@
             return []
         contact.heard_at = max(contact.heard_at, sent_at)
         vector = {at.source: stamp_of(at.stamp) for at in answer.vector}
-        if answer.in_force:
+        if answer.in_force and ip in self.contacts:
             contact.in_force_at, contact.in_force = max(contact.in_force_at, sent_at), vector
             contact.primary = answer.primary
             members = tuple(answer.members)
--- a/vetchusher/waggle/ledger.py
+++ b/vetchusher/waggle/ledger.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import islice
 from typing import TypeAlias
@@ -120,3 +120,14 @@
         if len(self.gone) > MOST_GONE:
             for old in list(islice(self.gone, MOST_GONE // 8)):
                 self.floor = max(self.floor, self.gone.pop(old))
+
+
+def news_for(sources: Mapping[str, Ledger], vector: Iterable[wire.SourceAt]) -> wire.News:
+    """What the reader of that vector lacks, of the sources that it names."""
+    told = wire.News()
+    for at in vector:
+        ledger = sources.get(at.source)
+        news = ledger.since(stamp_of(at.stamp)) if ledger is not None else None
+        if news is not None:
+            told.sources.append(news)
+    return told
