Let an ingress serve on after SIGTERM until the directory's answers have run out

It closed its door at once, so whoever came by an answer of two seconds ago found nobody. As the design has it, new connections are served while some clients may hold on to such an answer, three times its time, and the last second of the grace is for what was taken by then.

--- a/vetchusher/entrance/presence.py
+++ b/vetchusher/entrance/presence.py
@@ -12,6 +12,8 @@
 MAY_SERVE_US = 60_000_000  # since the last beat: cut off from here it may still serve clients
 MOST_INGRESSES = 2_048
 MOST_NAMED = 64  # addresses in one answer
+TTL_S = 2  # for which a client may hold on to the directory's answer
+KEPT_TIMES = 3  # as long as that some do hold on to it
 FEWEST_NAMED = 2  # with fewer in its region a client would have nowhere to go when one dies
 
 
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from vetchusher.entrance.neighbours import neighbours, places_of
+from vetchusher.entrance.presence import KEPT_TIMES, TTL_S
 from vetchusher.events import Event, Note
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.tries import ExtraTries
@@ -27,6 +28,7 @@
 TICK_S = 0.05
 SYNC_S = 0.15  # between two pushes of what has passed
 PUSH_S = 0.6  # for the totals that answer one
+LAST_S = 1.0  # of the grace: for the requests taken by then
 MOST_PUSHES = 4  # under way at a time
 
 
@@ -54,6 +56,7 @@
         self.known: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
         self.version = 0
         self.leaving = False
+        self.left_at = 0.0
         self.pushes: set[asyncio.Task[None]] = set()
         self.pushed_at = 0.0
 
@@ -171,12 +174,17 @@
 
     def leave(self) -> None:
         """Off the directory first; then what is open is told to go elsewhere."""
-        self.leaving = True
+        self.leaving, self.left_at = True, self.loop.time()
         self.carry_sends(self.follower.beat_now(self.now()))
         self.front.leave()
 
     async def close(self, deadline_s: float) -> None:
-        """:param deadline_s: on the loop's clock"""
+        """Serve those who come by the directory's older answers; then end what is open.
+
+        :param deadline_s: on the loop's clock
+        """
+        kept_s = KEPT_TIMES * min(TTL_S, self.node.bounds.ttl_max_s)
+        await asyncio.sleep(min(self.left_at + kept_s, deadline_s - LAST_S) - self.loop.time())
         await self.front.close(int(deadline_s * 1e6))
         await self.readiness.close()
         await self.following.close()
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -10,7 +10,7 @@
 
 from vetchusher import comb
 from vetchusher.comb import Member
-from vetchusher.entrance.presence import Presence
+from vetchusher.entrance.presence import TTL_S, Presence
 from vetchusher.events import Event, Note
 from vetchusher.kinds import Fault, Kind
 from vetchusher.limits.totals import Holder
@@ -32,7 +32,6 @@
 TICK_S = 0.05
 READ_PAUSE_S = 0.6  # between two whole reads of the list
 PASS_ON_S = 2.5  # for the primary's answer to an order passed on
-TTL_S = 2
 MOST_WATCHERS = 2048
 SHELF_PAUSE_S = 0.25  # between two writes of what has been told
 
