Test the system of real processes: kills, a wiped disk, an orderly end, people's start

Each promise on what is acknowledged is shown with processes that are really killed; what is waited for is seen in answers and logs, and only what has failed already runs into a limit.

--- /dev/null
+++ b/tests/test_apiary.py
@@ -0,0 +1,188 @@
+"""The system of real processes on one machine: kills, losses and ends.  Nothing is timed: it waits to see."""
+
+import asyncio
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import replace
+
+from returns.result import Success
+from testtools import TestCase
+from testtools.matchers import AfterPreprocessing, AllMatch, Equals, Is
+
+from vetchusher.emulator.apiary import FRONT, Apiary, first_configuration
+from vetchusher.emulator.platform import PlatformStandIn
+from vetchusher.events import Event
+from vetchusher.hive.platform import Platform
+from vetchusher.scouts.reader import Listed
+from vetchusher.settings.node import Bounds, CloudApi
+
+
+def second_configuration():
+    """As the first one, and one route more: /late/ to a service that is there already."""
+    tree = first_configuration(version=2)
+    tree["routes"].append(tree["routes"][0] | {"name": "late", "path_prefix": "/late/"})
+    return tree
+
+
+class ApiaryTest(TestCase):
+    def play(self, script, **bounds):
+        """Run the script with a system that serves its first configuration; none may print a traceback."""
+
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                async with Apiary(pathlib.Path(folder), replace(Bounds(), **bounds)) as apiary:
+                    await apiary.configure(first_configuration())
+                    await apiary.until_serving(apiary.edge)
+                    await script(apiary)
+                    for machine in apiary.machines.values():
+                        self.assertNotIn("Traceback", machine.log)
+
+        asyncio.run(run())
+
+    async def holds(self, apiary, tree, path):
+        """What was sent is read back from every running core machine, and served at every running ingress."""
+        for edge in (one for one in apiary.edge if one.running):
+            front = edge.at(FRONT)
+            await apiary.until(lambda front=front: apiary.served(front, path), f"{path} at {edge.name}")
+        for machine in (one for one in apiary.core if one.running):
+
+            async def retrieved(machine=machine):
+                answer = await apiary.read_back(machine)
+                return answer if answer is not None and answer.status == 200 else None
+
+            answer = await apiary.until(retrieved, f"{machine.name} reads back")
+            self.assertThat(json.loads(answer.body), Equals(tree))
+
+    def test_what_is_acknowledged_holds_though_the_primary_dies_and_an_ingress_leaves(self):
+        async def script(apiary):
+            await self.holds(apiary, first_configuration(), "/wax/a")
+            first = await apiary.until_settled()
+            await apiary.kill(first.name)
+            began = time.monotonic()
+            await apiary.configure(second_configuration())
+            took_ms = (time.monotonic() - began) * 1e3
+            self.assertLess(took_ms, apiary.bounds.ack_ms)
+            await self.holds(apiary, second_configuration(), "/late/a")
+            await apiary.start(first.name)
+            await apiary.configure(first_configuration())  # an older one changes nothing
+            await self.holds(apiary, second_configuration(), "/late/b")
+            await self.leaves(apiary, *apiary.edge)
+
+        self.play(script, grace_s=30.0)
+
+    async def leaves(self, apiary, leaving, staying):
+        """An ingress leaves the directory first, serves who comes by older answers, finishes what it took.
+
+        leaving   slow request begins ... SIGTERM .................. a new client ........ both answered, end
+        core                                       names the other
+        server    at work .............................................................. released
+        """
+        released = asyncio.Event()
+        for server in apiary.servers:
+            server.held = released
+        slow = asyncio.create_task(apiary.ask(leaving.at(FRONT), "/wax/slow", 60_000))
+
+        async def at_work(count=1):
+            return sum(server.at_work for server in apiary.servers) == count
+
+        await apiary.until(at_work, "a server works on it")
+        end = asyncio.create_task(apiary.stop(leaving.name))
+        await apiary.until_serving([staying])
+        late = asyncio.create_task(apiary.ask(leaving.at(FRONT), "/wax/late", 60_000))
+        await apiary.until(lambda: at_work(2), "a server works on the late one")
+        released.set()
+        for answer in (await slow, await late):
+            self.assertThat((answer.status, answer.body), Equals((200, apiary.servers[0].body)))
+            self.assertThat(answer.headers["connection"], Equals("close"))
+        self.assertThat(await end, Equals(0))
+
+    def test_nothing_is_lost_when_all_restart_even_with_a_wiped_disk(self):
+        async def script(apiary):
+            await apiary.configure(second_configuration())
+            await asyncio.gather(*map(apiary.kill, apiary.machines))
+            await asyncio.gather(*map(apiary.start, apiary.machines))
+            await apiary.until_serving(apiary.edge)
+            await self.holds(apiary, second_configuration(), "/late/a")
+            wiped = await apiary.until_settled()
+            core = [one.name for one in apiary.core]
+            await asyncio.gather(*map(apiary.kill, core))
+            apiary.wipe(wiped.name)
+            await asyncio.gather(*map(apiary.start, core))
+            await self.holds(apiary, second_configuration(), "/late/b")
+
+            async def remembered():
+                return f" {Event.REMEMBERED:d} " in wiped.log
+
+            await apiary.until(remembered, "the wiped one remembers")
+            self.assertIn(f" {Event.FORGETFUL:d} ", wiped.log)
+
+        self.play(script)
+
+    def test_people_start_and_end_it(self):
+        started = subprocess.Popen(
+            [sys.executable, "-m", "vetchusher.emulator.apiary"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(started.kill)
+        seen = ""
+        for line in started.stdout:
+            seen += line
+            if line.startswith("up"):
+                break
+        self.assertRegex(seen, r"(?m)^asked .*: 200, ")
+        started.send_signal(signal.SIGINT)
+        told, wrong = started.communicate()
+        self.assertThat((started.returncode, told, wrong), Equals((0, "ending\n", "")))
+        pids = [int(pid) for pid in re.findall(r" pid (\d+) ", seen)]
+        self.assertThat(len(pids), Equals(5))
+        self.assertThat(pids, AllMatch(AfterPreprocessing(is_there, Is(False))))
+
+
+def is_there(pid):
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+class PlatformTest(TestCase):
+    def test_the_list_comes_in_pages_late_and_not_too_often(self):
+        now = 100.0
+
+        def entry(number):
+            return Listed(f"i-{number}", "wax", f"127.0.0.1:{number}", "gulf-a", "v1", 3, False, 2000)
+
+        async def script():
+            nonlocal now
+            stand_in = PlatformStandIn(rate_per_s=3, lag_s=1.0, page=2, now=lambda: now)
+            await stand_in.open()
+            platform = Platform(CloudApi((stand_in.host, stand_in.port)))
+            try:
+                stand_in.show([entry(n) for n in range(1, 6)])
+                now += 0.9
+                found = [await platform.read()]  # one call: nothing is listed yet
+                now += 0.2
+                found.append(await platform.read())  # of three calls one is over the rate
+                now += 1.0
+                found.append(await platform.read())
+                return found
+            finally:
+                await platform.close()
+                await stand_in.close()
+
+        early, often, late = asyncio.run(script())
+        self.assertThat(early, Equals(Success([])))
+        self.assertIn("429", often.failure().text)
+        listed = late.unwrap()
+        self.assertThat([one.instance for one in listed], Equals([f"i-{n}" for n in range(1, 6)]))
+        self.assertThat({one.cold_left_ms for one in listed}, Equals({0}))
--- a/vetchusher/emulator/apiary.py
+++ b/vetchusher/emulator/apiary.py
@@ -157,7 +157,11 @@
         return Machine(name, f"{self.net}{last}", zone, self.folder / name, core)
 
     async def __aenter__(self) -> Apiary:
-        await self.open()
+        try:
+            await self.open()
+        except BaseException:
+            await self.close()
+            raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -337,6 +341,11 @@
         }
         return await self.call("GET", f"{front}{path}", headers=headers)
 
+    async def served(self, front: str, path: str) -> Answer | None:
+        """The same; None unless it is a success."""
+        answer = await self.ask(front, path)
+        return answer if answer is not None and answer.status == 200 else None
+
     async def until(self, look: Callable[[], Awaitable[T | None]], what: str) -> T:
         """What `look` finds, as soon as it finds something.
 
@@ -430,7 +439,7 @@
     fronts = await apiary.until(lambda: apiary.resolve(zone), "the directory answers")
     print(f"resolved   {HOST} for {zone}: {', '.join(fronts)}")
     path = f"/{SERVICES[0]}/first"
-    answer = await apiary.until(lambda: apiary.ask(fronts[0], path), "a request is answered")
+    answer = await apiary.until(lambda: apiary.served(fronts[0], path), "a request is served")
     print(f"asked      GET {path} at {fronts[0]}: {answer.status}, {answer.body!r}")
     print("up; Ctrl-C ends it", flush=True)
 
@@ -456,7 +465,8 @@
         await show(apiary)
         await keep_up(apiary)
 
-    apiary = Apiary(folder)
+    # Answers of the directory that run out soon: an ingress that is told to end waits for that.
+    apiary = Apiary(folder, Bounds(ttl_max_s=0.5))
     tasks = loop.create_task(up()), loop.create_task(stop.wait())
     try:
         done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
--- a/vetchusher/emulator/servers.py
+++ b/vetchusher/emulator/servers.py
@@ -32,6 +32,7 @@
     """Serves between `open` and `close`, on a free port where none is named.
 
     :param time_s: that it works on a request
+    :param held: until it is set, requests at work stay so
     :param body: of its answers
     :param moods: what it does with the next requests, each once: `ok`, `reset` (runs, then resets), `refuse`
         (resets without running), `full`, `silent`, `junk`, `cut`, `unsealed`, `surplus`, `error`, `promise`
@@ -45,6 +46,7 @@
     zone: str = "gulf-a"
     capacity: int = 4
     time_s: float = 0.0
+    held: asyncio.Event | None = None
     body: bytes = b"the server's bytes"
     moods: list[str] = field(default_factory=list)
     usual: Callable[[], str] = lambda: "ok"
@@ -107,6 +109,8 @@
         self.most_at_work = max(self.most_at_work, self.at_work)
         try:
             await asyncio.sleep(self.time_s)
+            if self.held is not None:
+                await self.held.wait()
         finally:
             self.at_work -= 1
         return await self.end(mood, start.startswith("HEAD "), headers, writer)
