--- a/tests/test_apiary.py
+++ b/tests/test_apiary.py
@@ -105,6 +105,8 @@
 
     def test_nothing_is_lost_when_all_restart_even_with_a_wiped_disk(self):
         async def script(apiary):
+            evacuated = [server for server in apiary.servers if server.zone == "delta-a"]
+            await apiary.order("POST", "/evacuation/delta-a/initiate")
             await apiary.configure(second_configuration())
             await asyncio.gather(*map(apiary.kill, apiary.machines))
             await asyncio.gather(*map(apiary.start, apiary.machines))
@@ -122,6 +124,9 @@
 
             await apiary.until(remembered, "the wiped one remembers")
             self.assertIn(f" {Event.FORGETFUL:d} ", wiped.log)
+            self.assertThat(
+                evacuated, AllMatch(AfterPreprocessing(lambda server: server.arrivals, Equals([])))
+            )
 
         self.play(script)
 
--- a/vetchusher/emulator/apiary.py
+++ b/vetchusher/emulator/apiary.py
@@ -61,7 +61,7 @@
     17_585,
 )
 NETS = 64  # networks tried before giving up
-PATIENCE_S = 90.0  # only what has already failed waits this long
+PATIENCE_S = 180.0  # only what has already failed waits this long
 LOOK_S = 0.05  # between two looks at what is waited for
 CALL_S = 10.0  # for one call; a process that is gone answers at once by a reset
 AGAIN_S = 1.0  # until a process that ended is started again
@@ -338,6 +338,7 @@
             "X-Vetchusher-Attempt-Id": f"a-{self.ids:06d}",
             "X-Vetchusher-Time-Remaining": str(left_ms),
             "Authorization": f"Bearer {KEY}",
+            "Connection": "keep-alive",  # where the answer says `close`, the ingress wants it so
         }
         return await self.call("GET", f"{front}{path}", headers=headers)
 
