Control state in virtual time: machines, disks and links that fail, a judge, a random search

A disk that hangs holds up one write, not each, and an order that is in force already waits for no other's write: both found as orders unsettled within 5 s of calm.

--- a/vetchusher/comb/primary.py
+++ b/vetchusher/comb/primary.py
@@ -16,7 +16,7 @@
 from vetchusher.kinds import Fault, Kind
 from vetchusher.waggle.wire_pb2 import CombLetter, CombState, Renew, Renewed, Write, Written
 
-from .acts import Committed, Done, Order, Output, Retrieve, Submitted, Tell, Timing
+from .acts import Committed, Done, Order, Output, Replace, Retrieve, Submitted, Tell, Timing
 from .memory import Memory
 from .state import START, Point, at, changed, enough, majority, ordered, point, stamp, without_configuration
 
@@ -84,6 +84,7 @@
         self.writing: list[tuple[Waiting, Result[bytes, Fault]]] = []
         self.waiting: list[Waiting] = []
         self.reading: list[Waiting] = []
+        self.vain: dict[str, Point] = {}  # who was waited for in vain, by the stamp that it did not sync
         self.lapsed_at: int | None = None
 
     # -- the lease -----------------------------------------------------------------------------
@@ -196,25 +197,37 @@
             backup.copy_until = max(backup.copy_until, backup.first_at + self.timing.held_us)
         return []
 
+    def copy(self, now: int, ip: str) -> Point:
+        """Stamp of the copy on that member's disk, as far as its word still counts."""
+        if ip == self.fellows.me:
+            return self.memory.synced_stamp
+        backup = self.backup(ip)
+        return backup.copy if now < backup.copy_until else START
+
     def holders(self, now: int) -> set[str]:
         """Members on whose disk the newest state is."""
-        target = at(self.memory.state)
-        some = {
+        return {ip for ip in self.members if self.copy(now, ip) >= at(self.memory.state)}
+
+    def elsewhere(self, now: int, holders: Iterable[str]) -> list[str]:
+        """Members that are up in other zones, and could hold a copy there."""
+        zones = {self.fellows.zones.get(ip) for ip in holders}
+        self.vain = {ip: waited for ip, waited in self.vain.items() if self.copy(now, ip) < waited}
+        return [
             ip
-            for ip, backup in self.backups.items()
-            if ip in self.members and backup.copy >= target and now < backup.copy_until
-        }
-        if self.memory.synced_stamp >= target:
-            some.add(self.fellows.me)
-        return some
+            for ip in self.members
+            if ip not in self.vain and self.heard(now, ip) and self.fellows.zones.get(ip) not in zones
+        ]
 
     def apart(self, now: int, holders: Iterable[str], began: int) -> bool:
         """Whether the copies lie in two zones, or nobody is up that could hold one in another."""
-        zones = {self.fellows.zones.get(ip, "") for ip in holders}
-        elsewhere = (
-            ip for ip in self.members if self.heard(now, ip) and self.fellows.zones.get(ip) not in zones
-        )
-        return len(zones) > 1 or now >= began + self.timing.other_zone_us or not any(elsewhere)
+        if len({self.fellows.zones.get(ip) for ip in holders}) > 1:
+            return True
+        waited_for = self.elsewhere(now, holders)
+        if waited_for and now < began + self.timing.other_zone_us:
+            return False
+        # A disk that hangs holds up one write, not each.
+        self.vain.update(dict.fromkeys(waited_for, at(self.memory.state)))
+        return True
 
     def settle(self, now: int) -> list[Output]:
         """Commits the write under way if it may be, then begins the next, and answers what can be
@@ -243,14 +256,19 @@
         """All orders that wait go into one write, with at most one change of the members."""
         held = state = self.memory.state
         batch, self.waiting = self.waiting, []
+        done: list[Output] = []
         for waiting in batch:
-            after = ordered(state, waiting.order)
+            order = waiting.order
+            if ordered(held, order).value_or(None) is held and (state is held or isinstance(order, Replace)):
+                done.append(Done(waiting.number, Success(b"")))  # it relies on nothing that is under way
+                continue
+            after = ordered(state, order)
             state = after.value_or(state)
             self.writing.append((waiting, after.map(lambda _: b"")))
         members = self.next_members(now)
         if members is not None:
             state = changed(state, members=members)
-        return self.write(now, state) if state is not held else []
+        return done + (self.write(now, state) if state is not held else [])
 
     def next_members(self, now: int) -> list[str] | None:
         """One more, once it holds all that is committed; or one less.  The committed members stand
--- /dev/null
+++ b/vetchusher/emulator/comb_judge.py
@@ -0,0 +1,77 @@
+"""What may never be seen of the control state, whatever was lost: a judge that hears all and trusts
+nobody."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from vetchusher.comb.state import START, Point, at
+from vetchusher.waggle.wire_pb2 import CombState
+
+
+@dataclass(slots=True)
+class Judge:
+    """It owns what was acknowledged, read and committed in one run.
+
+    :param wrong: what was seen and may not be
+    :param sent: body of each version ever sent
+    :param acknowledged: highest version acknowledged
+    :param expected: zones whose last order was acknowledged, with no other on its way: whether it is
+    evacuated
+    """
+
+    wrong: list[str] = field(default_factory=list)
+    at: int = 0
+    sent: dict[int, bytes] = field(default_factory=dict)
+    acknowledged: int = 0
+    read: int = 0
+    expected: dict[str, bool] = field(default_factory=dict)
+    primaries: dict[int, str] = field(default_factory=dict)
+    committed: dict[Point, bytes] = field(default_factory=dict)  # what each stamp stands for
+    newest: Point = START
+
+    def say(self, what: str) -> None:
+        self.wrong.append(f"{self.at / 1e6:.3f} s: {what}")
+
+    def led(self, epoch: int, who: str) -> None:
+        before = self.primaries.setdefault(epoch, who)
+        if before != who:
+            self.say(f"epoch {epoch} has two primaries: {before} and {who}")
+
+    def held(self, holders: list[str]) -> None:
+        if len(holders) > 1:
+            self.say(f"{' and '.join(holders)} hold at once")
+
+    def commits(self, who: str, state: CombState) -> None:
+        stamp, told = at(state), state.SerializeToString(deterministic=True)
+        if self.committed.setdefault(stamp, told) != told:
+            self.say(f"{who} committed {stamp}, which was something else before")
+        if stamp <= self.newest:
+            return
+        self.newest = stamp
+        if state.version < self.acknowledged:
+            self.say(f"{who} committed {stamp} with r{state.version}: r{self.acknowledged} was acknowledged")
+        if state.version and state.configuration != self.sent.get(state.version):
+            self.say(f"{who} committed r{state.version} that is not as it was sent")
+        self.zones(who, state)
+
+    def zones(self, who: str, state: CombState) -> None:
+        is_on = {e.zone: e.on for e in state.evacuations}
+        for zone, on in self.expected.items():
+            if is_on.get(zone, False) != on:
+                self.say(f"{who} committed {at(state)}: zone {zone} is not as acknowledged")
+
+    def acked(self, version: int) -> None:
+        self.acknowledged = max(self.acknowledged, version)
+
+    def floor(self) -> int:
+        """What a reading that begins now has to show at least."""
+        return max(self.acknowledged, self.read)
+
+    def reads(self, body: bytes, floor: int) -> None:
+        version = next((v for v, b in self.sent.items() if b == body), 0)
+        if not version:
+            self.say("a reading showed what nobody sent")
+        if version < floor:
+            self.say(f"a reading showed r{version} after r{floor}")
+        self.read = max(self.read, version)
--- /dev/null
+++ b/vetchusher/emulator/comb_search.py
@@ -0,0 +1,289 @@
+"""Random search over the control state: rounds of trouble, each followed by a calm in which orders must be
+settled.
+
+Two kinds of rounds.  *Wild*: any number of processes, disks and links fail in any way, but no disk is lost.
+*Careful*: disks are lost too, and no more machines are lost at a time than are tolerated; a machine counts as
+lost until `CATCH_UP` after its return.  A careful round may end with a closing fault: as many disks as are
+tolerated, or a zone's, are lost while every other machine loses power.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from vetchusher.comb.state import majority
+
+from .comb_world import Scene, World
+from .tier_world import MS, SECOND
+
+CATCH_UP = 4 * SECOND
+CALM = 5 * SECOND  # of a majority, after which an order is acknowledged within as long again
+NEVER = 1 << 60
+
+
+@dataclass(slots=True)
+class Search:
+    """:param tolerated: machines that may be lost at a time
+    :param kinds: of faults; empty: all
+    :param joiners: machines beyond the first members start later
+    """
+
+    scene: Scene = field(default_factory=Scene)
+    rounds: int = 4
+    tolerated: int = 1
+    kinds: tuple[str, ...] = ()
+    wild: float = 0.4
+    closing: float = 0.5
+    every: int = 700 * MS  # mean time between two faults of a round
+
+
+class Trouble:
+    """It owns which machines are lost, and until when."""
+
+    def __init__(self, search: Search) -> None:
+        self.search = search
+        self.world = World(search.scene)
+        self.rng = self.world.rng
+        self.lost_until: dict[str, int] = {}
+        self.last_version = 0
+        self.acknowledged = 0
+        self.stopped = False
+
+    # -- a run ---------------------------------------------------------------------------------
+
+    def run(self) -> list[str]:
+        """What was seen that may not be."""
+        world = self.world
+        for ip in world.seeds:
+            world.after(self.rng.randrange(300 * MS), lambda ip=ip: world.start(ip, first=True))  # type:
+            ignore[misc]
+        for number, zone in enumerate(("north", "south")):
+            self.operate(zone, number)
+        self.passes(SECOND)
+        for ip in world.machines:
+            world.after(self.rng.randrange(4 * SECOND), lambda ip=ip: world.start(ip))  # type: ignore[misc]
+        self.passes(2 * SECOND)
+        for _ in range(self.search.rounds):
+            if world.judge.wrong:
+                break
+            if self.rng.random() < self.search.wild:
+                self.wild_round()
+            else:
+                self.careful_round()
+        self.settled(list(world.machines))
+        return world.judge.wrong
+
+    def passes(self, length: int) -> None:
+        self.world.run(self.world.at + length)
+
+    # -- operators -----------------------------------------------------------------------------
+
+    def operate(self, zone: str, number: int) -> None:
+        """One operator: a new order whenever the last one was acknowledged, sent again until it is."""
+        world, rng = self.world, self.rng
+
+        def again() -> None:
+            if self.stopped:
+                return
+            drawn = rng.random()
+            if drawn < 0.5:
+                self.last_version += rng.randrange(1, 4)
+                self.until_done(lambda ip, then, v=self.last_version: world.replace(ip, v, then), later)  #
+                type: ignore[misc]
+            elif drawn < 0.75:
+                on = rng.random() < 0.5
+                self.until_done(lambda ip, then: world.evacuate(ip, zone, on, then), later)
+            else:
+                world.retrieve(self.anybody(), lambda version: later())
+
+        def later() -> None:
+            world.after(rng.randrange(1, 500 * MS), again)
+
+        world.after(number * 50 * MS, again)
+
+    def until_done(
+        self, attempt: Callable[[str, Callable[[bool], None]], None], then: Callable[[], None]
+    ) -> None:
+        def answered(ok: bool) -> None:
+            self.acknowledged += ok
+            if ok:
+                then()
+            elif not self.stopped:
+                self.world.after(self.rng.randrange(50 * MS, 400 * MS), once)
+
+        def once() -> None:
+            attempt(self.anybody(), answered)
+
+        once()
+
+    def anybody(self) -> str:
+        leaders = [ip for ip, m in self.world.machines.items() if m.member and m.member.primary == ip]
+        return self.rng.choice(leaders or list(self.world.machines))
+
+    # -- faults: each begins at one machine, and says how it ends ------------------------------
+
+    def faults(self) -> dict[str, Callable[[str], Callable[[], None]]]:
+        world = self.world
+
+        def killed(ip: str) -> Callable[[], None]:
+            world.kill(ip)
+            return lambda: world.start(ip)
+
+        def frozen(ip: str) -> Callable[[], None]:
+            world.freeze(ip)
+            return lambda: world.thaw(ip)
+
+        def cut(hears: bool, is_heard: bool) -> Callable[[str], Callable[[], None]]:
+            def begin(ip: str) -> Callable[[], None]:
+                world.cut(ip, hears, is_heard)
+                return lambda: world.join(ip)
+
+            return begin
+
+        def disk(name: str) -> Callable[[str], Callable[[], None]]:
+            def begin(ip: str) -> Callable[[], None]:
+                setattr(world.machines[ip], name, True)
+                return lambda: setattr(world.machines[ip], name, False)
+
+            return begin
+
+        return {
+            "killed": killed,
+            "frozen": frozen,
+            "cut": cut(False, False),
+            "deaf": cut(False, True),
+            "mute": cut(True, False),
+            "disk hangs": disk("disk_hangs"),
+            "disk refuses": disk("disk_refuses"),
+        }
+
+    def drawn_fault(self) -> Callable[[str], Callable[[], None]]:
+        faults = self.faults()
+        return faults[self.rng.choice([k for k in faults if not self.search.kinds or k in self.search.kinds])]
+
+    def begin(self, ip: str, fault: Callable[[str], Callable[[], None]], length: int) -> None:
+        self.lost_until[ip] = NEVER
+        end = fault(ip)
+
+        def ended() -> None:
+            end()
+            self.lost_until[ip] = self.world.at + CATCH_UP
+
+        self.world.after(length, ended)
+
+    def lost(self) -> set[str]:
+        return {ip for ip, until in self.lost_until.items() if until > self.world.at}
+
+    def heal(self) -> None:
+        world = self.world
+        world.cuts.clear()
+        world.loss, world.late = world.scene.loss, world.scene.late
+        for ip, machine in world.machines.items():
+            machine.disk_hangs = machine.disk_refuses = False
+            world.thaw(ip)
+            world.start(ip)
+
+    # -- rounds --------------------------------------------------------------------------------
+
+    def wild_round(self) -> None:
+        world, rng = self.world, self.rng
+        ends = world.at + rng.randrange(2 * SECOND, 8 * SECOND)
+        while world.at < ends and not world.judge.wrong:
+            self.wild_fault(ends)
+            self.passes(int(rng.expovariate(1 / self.search.every)) + 1)
+        self.heal()
+        members = self.members()
+        spoilt = rng.sample(members, len(members) - majority(len(members)))
+        for ip in spoilt:
+            self.begin(ip, self.drawn_fault(), CALM + 6 * SECOND)
+        self.settled([ip for ip in members if ip not in spoilt])
+        self.passes(6 * SECOND)
+        self.heal()
+        self.passes(CATCH_UP)
+
+    def wild_fault(self, ends: int) -> None:
+        world, rng = self.world, self.rng
+        names = list(world.machines)
+        drawn = rng.random()
+        if drawn < 0.1 and not self.search.kinds:
+            for ip in names:
+                world.kill(ip)
+                world.after(rng.randrange(SECOND), lambda ip=ip: world.start(ip))  # type: ignore[misc]
+        elif drawn < 0.2:
+            world.loss = rng.choice((0.0, 0.1, 0.3))
+            world.late = rng.choice((0.0, 0.05))
+        elif drawn < 0.4:
+            one, other = rng.sample(names, 2)
+            world.cuts.add((one, other))
+            world.after(rng.randrange(4 * SECOND), lambda: world.cuts.discard((one, other)))
+        else:
+            ip = self.anybody() if rng.random() < 0.5 else rng.choice(names)
+            length = rng.choice((rng.randrange(SECOND), rng.randrange(4 * SECOND)))
+            self.begin(ip, self.drawn_fault(), min(length, ends - world.at))
+
+    def careful_round(self) -> None:
+        world, rng = self.world, self.rng
+        ends = world.at + rng.randrange(2 * SECOND, 10 * SECOND)
+        while world.at < ends and not world.judge.wrong:
+            ip = self.anybody() if rng.random() < 0.5 else rng.choice(list(world.machines))
+            if ip not in self.lost() and len(self.lost()) < self.search.tolerated:
+                length = rng.choice(
+                    (rng.randrange(300 * MS), rng.randrange(SECOND), rng.randrange(3 * SECOND))
+                )
+                wiped = rng.random() < 0.5
+                self.begin(ip, self.wiped if wiped else self.drawn_fault(), length)
+            self.passes(int(rng.expovariate(1 / self.search.every)) + 1)
+        while self.lost() and not world.judge.wrong:
+            self.passes(SECOND)
+        if rng.random() < self.search.closing:
+            self.passes(rng.randrange(SECOND))
+            self.closing_fault()
+        self.settled(list(world.machines))
+
+    def wiped(self, ip: str) -> Callable[[], None]:
+        self.world.wipe(ip)
+        return lambda: self.world.start(ip)
+
+    def closing_fault(self) -> None:
+        world, rng = self.world, self.rng
+        names = list(world.machines)
+        zone = rng.choice(sorted({m.zone for m in world.machines.values()}))
+        wiped = rng.sample(names, self.search.tolerated)
+        if rng.random() < 0.5:
+            wiped = [ip for ip in names if world.machines[ip].zone == zone]
+        rest = rng.random() < 0.7
+        for ip in names:
+            if ip in wiped:
+                world.wipe(ip)
+            elif rest:
+                world.kill(ip)
+            world.after(rng.randrange(SECOND), lambda ip=ip: world.start(ip))  # type: ignore[misc]
+        self.passes(SECOND + CATCH_UP)
+
+    def members(self) -> list[str]:
+        """As the newest copy on any disk names them."""
+        kept = [m.disk.state for m in self.world.machines.values() if m.disk is not None]
+        return list(max(kept, key=lambda state: (state.stamp.epoch, state.stamp.seq)).members)
+
+    def settled(self, well: list[str]) -> None:
+        """These machines are a majority, up and joined: an order given to them is settled in time."""
+        self.passes(CALM)
+        world, begun = self.world, self.world.at
+        done: list[bool] = []
+
+        def answered(ok: bool) -> None:
+            if ok:
+                done.append(True)
+            elif world.at < begun + CALM:
+                world.after(200 * MS, once)
+
+        def once() -> None:
+            self.last_version += 1
+            world.replace(self.rng.choice(well), self.last_version, answered)
+
+        once()
+        while not done and world.at < begun + CALM and not world.judge.wrong:
+            self.passes(100 * MS)
+        if not done and not world.judge.wrong:
+            world.judge.say(f"an order is not settled, though {', '.join(well)} are well")
--- /dev/null
+++ b/vetchusher/emulator/comb_world.py
@@ -0,0 +1,325 @@
+"""The control state in virtual time: machines with clocks, disks and links that fail, and a judge.
+
+The members run unchanged.  A save that is not synced when the power goes may be there or not; letters may
+be late, lost, doubled or out of order; clocks drift.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from vetchusher.comb import (
+    Committed,
+    Done,
+    Heard,
+    Input,
+    Kept,
+    Member,
+    Order,
+    Output,
+    Replace,
+    Retrieve,
+    Save,
+    Saved,
+    SetEvacuation,
+    Submitted,
+    Tell,
+    Tick,
+    Timing,
+)
+from vetchusher.events import Event, Note
+from vetchusher.kinds import Fault, Kind
+from vetchusher.waggle.wire_pb2 import CombLetter
+
+from .comb_judge import Judge
+from .tier_world import MS, SECOND
+
+TICK = 50 * MS
+MOST_INBOX = 400
+Answer = Callable[[Result[bytes, Fault]], None]
+SILENT: Result[bytes, Fault] = Failure(Fault(Kind.NOT_SETTLED, "no answer"))
+
+
+@dataclass(slots=True)
+class Scene:
+    """One run.
+
+    :param zones: of the machines, in order; the first `seeds` of them are the members at the first start
+    :param drift: by which part clocks may be wrong
+    :param late: share of the letters that take up to `late_us`
+    """
+
+    seed: int = 1
+    zones: tuple[str, ...] = ("east", "east", "west")
+    seeds: int = 3
+    drift: float = 0.01
+    loss: float = 0.01
+    doubled: float = 0.01
+    late: float = 0.005
+    late_us: int = SECOND
+    least_us: int = 200
+    most_us: int = 20 * MS
+    disk_us: int = 10 * MS
+    timing: Timing = field(default_factory=Timing)
+
+
+@dataclass(slots=True)
+class Machine:
+    """:param disk: what is synced on it
+    :param saving: on its way there, with the life it belongs to
+    """
+
+    ip: str
+    zone: str
+    rate: float
+    offset: int
+    member: Member | None = None
+    life: int = 0
+    disk: Kept | None = None
+    saving: Save | None = None
+    disk_hangs: bool = False
+    disk_refuses: bool = False
+    frozen: bool = False
+    inbox: list[Input] = field(default_factory=list)
+
+    def now(self, at: int) -> int:
+        return self.offset + int(at * self.rate)
+
+
+class World:
+    """It owns the machines, the heap of what is to happen, and orders under way."""
+
+    def __init__(self, scene: Scene) -> None:
+        self.scene = scene
+        self.rng = random.Random(scene.seed)
+        self.at = 0
+        self.serial = 0
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.judge = Judge()
+        self.cuts: set[tuple[str, str]] = set()  # from, to
+        self.attempts: dict[int, tuple[str, Answer]] = {}
+        self.events: Counter[str] = Counter()
+        self.log: list[tuple[int, str, Note]] = []
+        self.loss, self.late = scene.loss, scene.late
+        self.machines: dict[str, Machine] = {}
+        for number, zone in enumerate(scene.zones):
+            rate = 1 + self.rng.choice((-1, 0, 1)) * scene.drift
+            name = f"{number + 1}"
+            self.machines[name] = Machine(name, zone, rate, self.rng.randrange(10**9))
+        self.seeds = list(self.machines)[: scene.seeds]
+
+    # -- time ----------------------------------------------------------------------------------
+
+    def after(self, delay: int, what: Callable[[], None]) -> None:
+        self.serial += 1
+        heapq.heappush(self.heap, (self.at + delay, self.serial, what))
+
+    def run(self, until: int) -> None:
+        while self.heap and self.heap[0][0] <= until and len(self.judge.wrong) < 5:
+            self.at, _, what = heapq.heappop(self.heap)
+            self.judge.at = self.at
+            what()
+        self.at = self.judge.at = max(self.at, until)
+
+    # -- processes -----------------------------------------------------------------------------
+
+    def start(self, ip: str, first: bool = False) -> None:
+        machine = self.machines[ip]
+        if machine.member is not None:
+            return
+        machine.life += 1
+        machine.member = Member(
+            ip,
+            machine.zone,
+            self.seeds,
+            first,
+            machine.disk,
+            self.scene.timing,
+            random.Random(self.rng.randrange(1 << 30)),
+            machine.now(self.at),
+        )
+        life = machine.life
+        self.after(self.rng.randrange(TICK), lambda: self.tick(machine, life))
+
+    def tick(self, machine: Machine, life: int) -> None:
+        if machine.life != life or machine.member is None:
+            return
+        if not machine.frozen:
+            self.give(machine, Tick())
+        self.after(TICK + self.rng.randrange(5 * MS), lambda: self.tick(machine, life))
+
+    def give(self, machine: Machine, event: Input) -> None:
+        if machine.member is None:
+            return
+        if machine.frozen:
+            if len(machine.inbox) < MOST_INBOX:
+                machine.inbox.append(event)
+            return
+        for out in machine.member.handle(machine.now(self.at), event):
+            self.carry(machine, out)
+        self.look()
+
+    def look(self) -> None:
+        self.judge.held([m.ip for m in self.machines.values() if self.holds(m.ip)])
+
+    def holds(self, ip: str) -> bool:
+        machine = self.machines[ip]
+        return machine.member is not None and machine.member.holds(machine.now(self.at))
+
+    def carry(self, machine: Machine, out: Output) -> None:
+        if isinstance(out, Tell):
+            self.send(machine, out.to, out.letter.SerializeToString())
+        elif isinstance(out, Save):
+            self.save(machine, out)
+        elif isinstance(out, Committed):
+            self.judge.commits(machine.ip, out.state)
+        elif isinstance(out, Done):
+            self.done(machine, out)
+        else:
+            self.events[out.event.name] += 1
+            self.log.append((self.at, machine.ip, out))
+            if out.event is Event.PRIMARY:
+                epoch = out.facts["epoch"]
+                assert isinstance(epoch, int)
+                self.judge.led(epoch, f"{machine.ip}/{machine.life}")
+
+    def kill(self, ip: str) -> None:
+        """The process ends, by itself or as the power goes: what was not synced may be on the disk or not."""
+        machine = self.machines[ip]
+        if machine.saving is not None and self.rng.random() < 0.5:
+            machine.disk = machine.saving.kept
+        machine.member, machine.saving, machine.frozen = None, None, False
+        machine.inbox.clear()
+
+    def wipe(self, ip: str) -> None:
+        self.kill(ip)
+        self.machines[ip].disk = None
+
+    def freeze(self, ip: str) -> None:
+        self.machines[ip].frozen = True
+
+    def thaw(self, ip: str) -> None:
+        machine = self.machines[ip]
+        machine.frozen = False
+        inbox, machine.inbox = machine.inbox, []
+        for event in inbox:
+            self.give(machine, event)
+
+    # -- disks ---------------------------------------------------------------------------------
+
+    def save(self, machine: Machine, save: Save) -> None:
+        assert machine.saving is None, "two saves at once"
+        machine.saving = save
+        life = machine.life
+        self.after(self.rng.randrange(1, self.scene.disk_us), lambda: self.saved(machine, life, save))
+
+    def saved(self, machine: Machine, life: int, save: Save) -> None:
+        if machine.life != life or machine.saving is not save:
+            return
+        if machine.disk_hangs:
+            self.after(50 * MS, lambda: self.saved(machine, life, save))
+            return
+        machine.saving = None
+        if not machine.disk_refuses:
+            machine.disk = save.kept
+        self.give(machine, Saved(save.token, not machine.disk_refuses))
+
+    # -- links ---------------------------------------------------------------------------------
+
+    def send(self, machine: Machine, to: str, data: bytes) -> None:
+        for _ in range(1 + (self.rng.random() < self.scene.doubled)):
+            if self.rng.random() < self.loss:
+                continue
+            way = self.rng.randrange(self.scene.least_us, self.scene.most_us)
+            if self.rng.random() < self.late:
+                way = self.rng.randrange(self.scene.late_us)
+            self.after(way, lambda: self.deliver(machine, to, data))
+
+    def deliver(self, sender: Machine, to: str, data: bytes) -> None:
+        if (sender.ip, to) not in self.cuts:
+            self.give(self.machines[to], Heard(sender.ip, sender.zone, CombLetter.FromString(data)))
+
+    def cut(self, ip: str, hears: bool = False, is_heard: bool = False) -> None:
+        """One machine from all others, both ways or one."""
+        for other in self.machines.keys() - {ip}:
+            if not hears:
+                self.cuts.add((other, ip))
+            if not is_heard:
+                self.cuts.add((ip, other))
+
+    def join(self, ip: str) -> None:
+        self.cuts = {pair for pair in self.cuts if ip not in pair}
+
+    # -- orders --------------------------------------------------------------------------------
+
+    def order(self, ip: str, order: Order, answer: Answer, patience: int = 4 * SECOND) -> None:
+        """To any machine; one that is not the primary passes it on to the one that it takes for it."""
+        self.serial += 1
+        number = self.serial
+        to = self.passed_on(ip)
+
+        def give_up() -> None:
+            if self.attempts.pop(number, None):
+                answer(SILENT)
+
+        self.after(patience, give_up)
+        if to is None:
+            self.after(10 * MS, lambda: answer(SILENT))
+            return
+        self.attempts[number] = (to, answer)
+        if isinstance(order, Replace):
+            self.judge.sent.setdefault(order.version, order.body)
+        elif isinstance(order, SetEvacuation):
+            self.judge.expected.pop(order.zone, None)
+        self.after(5 * MS, lambda: self.give(self.machines[to], Submitted(number, order)))
+
+    def passed_on(self, ip: str) -> str | None:
+        member = self.machines[ip].member
+        if member is None:
+            return None
+        to = member.primary
+        if to == ip or not to:
+            return to or None
+        return to if not {(ip, to), (to, ip)} & self.cuts else None
+
+    def done(self, machine: Machine, out: Done) -> None:
+        _, answer = self.attempts.pop(out.number, ("", None))
+        if answer is not None:
+            answer(out.outcome)
+
+    def replace(self, ip: str, version: int, then: Callable[[bool], None]) -> None:
+        def answer(outcome: Result[bytes, Fault]) -> None:
+            if isinstance(outcome, Success):
+                self.judge.acked(version)
+            then(isinstance(outcome, Success))
+
+        self.order(ip, Replace(version, b"r%d" % version + b"." * 50), answer)
+
+    def evacuate(self, ip: str, zone: str, on: bool, then: Callable[[bool], None]) -> None:
+        """One at a time for each zone."""
+
+        def answer(outcome: Result[bytes, Fault]) -> None:
+            if isinstance(outcome, Success):
+                self.judge.expected[zone] = on
+            then(isinstance(outcome, Success))
+
+        self.order(ip, SetEvacuation(zone, on), answer)
+
+    def retrieve(self, ip: str, then: Callable[[int | None], None]) -> None:
+        """`then` is told the version that was read, None without an answer."""
+        floor = self.judge.floor()
+
+        def answer(outcome: Result[bytes, Fault]) -> None:
+            if isinstance(outcome, Success):
+                self.judge.reads(outcome.unwrap(), floor)
+                then(self.judge.read)
+            else:
+                then(None)
+
+        self.order(ip, Retrieve(), answer)
