--- a/vetchusher/comb/candidate.py
+++ b/vetchusher/comb/candidate.py
@@ -36,6 +36,7 @@
         self.epoch = 0
         self.highest = memory.promised  # that anybody promised
         self.willing: set[str] = {me}
+        self.unheard: set[str] = set()
         self.granted: dict[str, CombState] = {}
         self.asked: set[str] = set()
 
@@ -46,18 +47,20 @@
     def ask_all(self, state: CombState) -> list[Output]:
         new = [ip for ip in state.members if ip != self.me and ip not in self.asked]
         self.asked.update(new)
+        self.unheard.update(new)
         return [Tell(ip, CombLetter(ask=Ask(epoch=self.epoch))) for ip in new]
 
     def over(self, now: int) -> bool:
         """Danger: a promise counts no longer than any answer (`primary`), so neither does a candidacy."""
         if self.stage is Stage.PROBING:
-            return now >= self.since + self.probe_us
+            return now >= self.since + (self.probe_us if self.unheard else self.timing.probe_us)
         return self.stage is Stage.ASKING and now >= self.since + self.timing.ask_us
 
     def heard(self, sender: str, answer: Granted) -> list[Output]:
         self.highest = max(self.highest, answer.promised)
         if sender not in self.asked or answer.epoch != self.epoch:
             return []
+        self.unheard.discard(sender)
         if self.stage is Stage.PROBING and not answer.forgetful and not answer.wait_ms:
             self.willing.add(sender)
         elif self.stage is Stage.ASKING and answer.granted:
--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -180,7 +180,7 @@
         elif candidate is not None:
             if candidate.over(now):
                 self.candidate, self.due_at = None, None
-                self.tries += 1
+                self.tries = self.tries + 1 if candidate.unheard else 0
         elif self.recalling is not None:
             self.out += self.recalling.tick(now)
         elif self.me not in self.members:
--- a/vetchusher/comb/recall.py
+++ b/vetchusher/comb/recall.py
@@ -26,7 +26,7 @@
         self.seeds = tuple(seeds)
         self.began = now
         self.begins = now + timing.lease_us
-        self.asked_at = now
+        self.asked_at = now - timing.recall_us
         self.round = rng.randrange(1, 1 << 32)
         self.answers: dict[str, Recalled] = {}
 
--- a/vetchusher/emulator/comb_judge.py
+++ b/vetchusher/emulator/comb_judge.py
@@ -3,11 +3,18 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from vetchusher.comb.state import START, Point, at
 from vetchusher.waggle.wire_pb2 import CombState
 
+from .tier_world import SECOND
+
+# How old what is said to be in force may be: heard within a second, from a primary whose lease had not run
+# out, in a letter that was late.
+STALE = 4 * SECOND
+
 
 @dataclass(slots=True)
 class Judge:
@@ -24,6 +31,8 @@
     at: int = 0
     sent: dict[int, bytes] = field(default_factory=dict)
     acknowledged: int = 0
+    at_ack: deque[tuple[int, int]] = field(default_factory=deque)  # when, what; those of the last `STALE`
+    old: int = 0  # what was acknowledged longer ago than that
     read: int = 0
     expected: dict[str, bool] = field(default_factory=dict)
     primaries: dict[int, str] = field(default_factory=dict)
@@ -63,6 +72,13 @@
 
     def acked(self, version: int) -> None:
         self.acknowledged = max(self.acknowledged, version)
+        self.at_ack.append((self.at, version))
+
+    def in_force(self, who: str, version: int) -> None:
+        while self.at_ack and self.at_ack[0][0] <= self.at - STALE:
+            self.old = max(self.old, self.at_ack.popleft()[1])
+        if version < self.old:
+            self.say(f"{who} takes r{version} to be in force, r{self.old} was acknowledged long ago")
 
     def floor(self) -> int:
         """What a reading that begins now has to show at least."""
--- a/vetchusher/emulator/comb_search.py
+++ b/vetchusher/emulator/comb_search.py
@@ -1,18 +1,21 @@
 """Random search over the control state: rounds of trouble, each followed by a calm in which orders must be
 settled.
 
-Two kinds of rounds.  *Wild*: any number of processes, disks and links fail in any way, but no disk is lost.
-*Careful*: disks are lost too, and no more machines are lost at a time than are tolerated; a machine counts as
-lost until `CATCH_UP` after its return.  A careful round may end with a closing fault: as many disks as are
-tolerated, or a zone's, are lost while every other machine loses power.
+Two kinds of rounds.  *Wild*: any number of processes, disks and links fail in any way, and up to a minority
+of the members loses its disk, each once.  *Careful*: no more machines are lost at a time than are
+tolerated, one counting as lost until `CATCH_UP` after its return.  It may end with a closing fault, right
+after an acknowledgement: a zone's disks are lost, or as many as are tolerated, while every other machine
+loses power.
 """
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
-from vetchusher.comb.state import majority
+from vetchusher.comb.state import majority, newest
 
 from .comb_world import Scene, World
 from .tier_world import MS, SECOND
@@ -26,16 +29,44 @@
 class Search:
     """:param tolerated: machines that may be lost at a time
     :param kinds: of faults; empty: all
-    :param joiners: machines beyond the first members start later
+    :param every: mean time between two faults of a round
+    :param gap: longest pause of an operator between two orders
     """
 
     scene: Scene = field(default_factory=Scene)
-    rounds: int = 4
+    rounds: int = 3
     tolerated: int = 1
     kinds: tuple[str, ...] = ()
-    wild: float = 0.4
-    closing: float = 0.5
-    every: int = 700 * MS  # mean time between two faults of a round
+    wild: float = 0.5
+    closing: float = 0.7
+    every: int = 500 * MS
+    gap: int = 300 * MS
+
+
+ZONES = (("east", "east", "west"), ("east", "east", "east", "west", "west"), ("east", "west", "north"))
+
+
+def drawn(seed: int) -> Search:
+    """A place and its manners: machines, disks, links, clocks, haste."""
+    rng = random.Random(seed)
+    zones = rng.choice(ZONES)
+    joiners = rng.choice((0, 0, 1, 2)) if len(zones) == 3 else 0
+    scene = Scene(
+        seed=seed,
+        zones=zones + tuple(rng.choices(zones, k=joiners)),
+        seeds=len(zones),
+        drift=rng.choice((0.0, 0.01, 0.045)),
+        loss=rng.choice((0.0, 0.01)),
+        late=rng.choice((0.0, 0.005, 0.05)),
+        most_us=rng.choice((5 * MS, 30 * MS, 150 * MS)),
+        disk_us=rng.choice((5 * MS, 100 * MS, 400 * MS)),
+    )
+    return Search(
+        scene,
+        tolerated=1 if len(zones) == 3 else 2,
+        every=rng.choice((200 * MS, 600 * MS)),
+        gap=rng.choice((30 * MS, 400 * MS)),
+    )
 
 
 class Trouble:
@@ -48,7 +79,7 @@
         self.lost_until: dict[str, int] = {}
         self.last_version = 0
         self.acknowledged = 0
-        self.stopped = False
+        self.at_next: Callable[[], None] | None = None  # what happens upon the next acknowledgement
 
     # -- a run ---------------------------------------------------------------------------------
 
@@ -56,13 +87,12 @@
         """What was seen that may not be."""
         world = self.world
         for ip in world.seeds:
-            world.after(self.rng.randrange(300 * MS), lambda ip=ip: world.start(ip, first=True))  # type:
-            ignore[misc]
+            world.after(self.rng.randrange(300 * MS), partial(world.start, ip, first=True))
         for number, zone in enumerate(("north", "south")):
             self.operate(zone, number)
         self.passes(SECOND)
         for ip in world.machines:
-            world.after(self.rng.randrange(4 * SECOND), lambda ip=ip: world.start(ip))  # type: ignore[misc]
+            world.after(self.rng.randrange(4 * SECOND), partial(world.start, ip))
         self.passes(2 * SECOND)
         for _ in range(self.search.rounds):
             if world.judge.wrong:
@@ -84,13 +114,11 @@
         world, rng = self.world, self.rng
 
         def again() -> None:
-            if self.stopped:
-                return
             drawn = rng.random()
             if drawn < 0.5:
                 self.last_version += rng.randrange(1, 4)
-                self.until_done(lambda ip, then, v=self.last_version: world.replace(ip, v, then), later)  #
-                type: ignore[misc]
+                version = self.last_version
+                self.until_done(lambda ip, then: world.replace(ip, version, then), later)
             elif drawn < 0.75:
                 on = rng.random() < 0.5
                 self.until_done(lambda ip, then: world.evacuate(ip, zone, on, then), later)
@@ -98,7 +126,7 @@
                 world.retrieve(self.anybody(), lambda version: later())
 
         def later() -> None:
-            world.after(rng.randrange(1, 500 * MS), again)
+            world.after(rng.randrange(1, self.search.gap), again)
 
         world.after(number * 50 * MS, again)
 
@@ -106,10 +134,13 @@
         self, attempt: Callable[[str, Callable[[bool], None]], None], then: Callable[[], None]
     ) -> None:
         def answered(ok: bool) -> None:
-            self.acknowledged += ok
             if ok:
+                self.acknowledged += 1
+                hook, self.at_next = self.at_next, None
+                if hook is not None:
+                    hook()
                 then()
-            elif not self.stopped:
+            else:
                 self.world.after(self.rng.randrange(50 * MS, 400 * MS), once)
 
         def once() -> None:
@@ -188,17 +219,22 @@
 
     def wild_round(self) -> None:
         world, rng = self.world, self.rng
-        ends = world.at + rng.randrange(2 * SECOND, 8 * SECOND)
+        ends = world.at + rng.randrange(SECOND, 8 * SECOND)
+        members = self.members()
+        minority = len(members) - majority(len(members))
+        for ip in rng.sample(members, minority) if rng.random() < 0.5 else ():
+            world.after(
+                rng.randrange(ends - world.at), partial(self.begin, ip, self.wiped, rng.randrange(SECOND))
+            )
         while world.at < ends and not world.judge.wrong:
             self.wild_fault(ends)
             self.passes(int(rng.expovariate(1 / self.search.every)) + 1)
         self.heal()
-        members = self.members()
-        spoilt = rng.sample(members, len(members) - majority(len(members)))
+        self.passes(CATCH_UP)  # those that lost their disks, if others are to fail
+        spoilt = rng.sample(members, minority)
         for ip in spoilt:
-            self.begin(ip, self.drawn_fault(), CALM + 6 * SECOND)
+            self.begin(ip, self.drawn_fault(), 2 * CALM)
         self.settled([ip for ip in members if ip not in spoilt])
-        self.passes(6 * SECOND)
         self.heal()
         self.passes(CATCH_UP)
 
@@ -209,7 +245,7 @@
         if drawn < 0.1 and not self.search.kinds:
             for ip in names:
                 world.kill(ip)
-                world.after(rng.randrange(SECOND), lambda ip=ip: world.start(ip))  # type: ignore[misc]
+                world.after(rng.randrange(SECOND), partial(world.start, ip))
         elif drawn < 0.2:
             world.loss = rng.choice((0.0, 0.1, 0.3))
             world.late = rng.choice((0.0, 0.05))
@@ -220,11 +256,11 @@
         else:
             ip = self.anybody() if rng.random() < 0.5 else rng.choice(names)
             length = rng.choice((rng.randrange(SECOND), rng.randrange(4 * SECOND)))
-            self.begin(ip, self.drawn_fault(), min(length, ends - world.at))
+            self.begin(ip, self.drawn_fault(), min(length, max(1, ends - world.at)))
 
     def careful_round(self) -> None:
         world, rng = self.world, self.rng
-        ends = world.at + rng.randrange(2 * SECOND, 10 * SECOND)
+        ends = world.at + rng.randrange(SECOND, 6 * SECOND)
         while world.at < ends and not world.judge.wrong:
             ip = self.anybody() if rng.random() < 0.5 else rng.choice(list(world.machines))
             if ip not in self.lost() and len(self.lost()) < self.search.tolerated:
@@ -237,8 +273,8 @@
         while self.lost() and not world.judge.wrong:
             self.passes(SECOND)
         if rng.random() < self.search.closing:
-            self.passes(rng.randrange(SECOND))
-            self.closing_fault()
+            self.at_next = lambda: world.after(rng.randrange(30 * MS), self.closing_fault)
+            self.passes(2 * SECOND)
         self.settled(list(world.machines))
 
     def wiped(self, ip: str) -> Callable[[], None]:
@@ -252,30 +288,27 @@
         wiped = rng.sample(names, self.search.tolerated)
         if rng.random() < 0.5:
             wiped = [ip for ip in names if world.machines[ip].zone == zone]
-        rest = rng.random() < 0.7
+        rest = rng.random() < 0.8
         for ip in names:
             if ip in wiped:
                 world.wipe(ip)
             elif rest:
                 world.kill(ip)
-            world.after(rng.randrange(SECOND), lambda ip=ip: world.start(ip))  # type: ignore[misc]
-        self.passes(SECOND + CATCH_UP)
+            world.after(rng.choice((0, SECOND, 3 * SECOND)) + rng.randrange(SECOND), partial(world.start, ip))
 
     def members(self) -> list[str]:
         """As the newest copy on any disk names them."""
-        kept = [m.disk.state for m in self.world.machines.values() if m.disk is not None]
-        return list(max(kept, key=lambda state: (state.stamp.epoch, state.stamp.seq)).members)
+        return list(newest(m.disk.state for m in self.world.machines.values() if m.disk is not None).members)
 
     def settled(self, well: list[str]) -> None:
         """These machines are a majority, up and joined: an order given to them is settled in time."""
-        self.passes(CALM)
         world, begun = self.world, self.world.at
         done: list[bool] = []
 
         def answered(ok: bool) -> None:
             if ok:
                 done.append(True)
-            elif world.at < begun + CALM:
+            elif not world.judge.wrong:
                 world.after(200 * MS, once)
 
         def once() -> None:
@@ -283,7 +316,7 @@
             world.replace(self.rng.choice(well), self.last_version, answered)
 
         once()
-        while not done and world.at < begun + CALM and not world.judge.wrong:
+        while not done and world.at < begun + 2 * CALM and not world.judge.wrong:
             self.passes(100 * MS)
         if not done and not world.judge.wrong:
             world.judge.say(f"an order is not settled, though {', '.join(well)} are well")
--- /dev/null
+++ b/vetchusher/emulator/comb_stories.py
@@ -0,0 +1,164 @@
+"""Stories of the control state, drawn as text: a row a moment, a column a machine, the last one the
+operator's.
+
+    s     | 1 east | 2 east    | 3 west | operator
+    2     |        | no writes |        | r5
+    ack   | off    |           |        |
+    ack+3 |        | leads     |        | reads r5
+
+All machines have started when the first row begins, and the first is the primary.  `ack` is when the order
+above was acknowledged (or the reading answered).  A machine's cell: see `ACTS`, or `x2`, `=2` (its link to
+2 is cut, joined), or what is to be seen there: `leads`, `idle`.  The operator sends each order again until
+it is acknowledged; a story that has not ended by itself `PATIENCE` after a row that waits has failed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial
+
+from .comb_world import Scene, World
+from .tier_world import MS, SECOND
+
+WARM_UP = 2 * SECOND
+PATIENCE = 20 * SECOND
+LAST = 2 * SECOND  # that a story goes on after its last row
+
+ACTS: dict[str, Callable[[World, str], None]] = {
+    "on": lambda world, ip: world.start(ip),
+    "off": lambda world, ip: world.kill(ip),  # the power goes, or the process ends
+    "disk lost": lambda world, ip: world.wipe(ip),  # and off
+    "stops": lambda world, ip: world.freeze(ip),
+    "goes on": lambda world, ip: world.thaw(ip),
+    "cut": lambda world, ip: world.cut(ip),
+    "deaf": lambda world, ip: world.cut(ip, is_heard=True),
+    "mute": lambda world, ip: world.cut(ip, hears=True),
+    "joined": lambda world, ip: world.join(ip),
+    "disk hangs": lambda world, ip: setattr(world.machines[ip], "disk_hangs", True),
+    "disk refuses": lambda world, ip: setattr(world.machines[ip], "disk_refuses", True),
+    "disk well": lambda world, ip: world.disk_well(ip),
+    "no writes": lambda world, ip: world.no_writes.add(ip),  # large letters are lost on their way there
+    "writes": lambda world, ip: world.no_writes.discard(ip),
+}
+
+
+@dataclass(slots=True)
+class Row:
+    """:param after_ack: whether `at` counts from the last acknowledgement, or from the story's begin"""
+
+    after_ack: bool
+    at: int
+    cells: list[tuple[str, str]]  # machine, act
+    order: str
+
+
+def rows(text: str) -> tuple[tuple[str, ...], list[Row]]:
+    """The machines' zones, and the rows."""
+    lines = [[c.strip() for c in line.split("|")] for line in text.strip().splitlines()]
+    names = [cell.split()[0] for cell in lines[0][1:-1]]
+    zones = tuple(cell.split()[1] for cell in lines[0][1:-1])
+    found = []
+    for when, *cells, order in lines[1:]:
+        after_ack, seconds = when.startswith("ack"), when.removeprefix("ack").removeprefix("+")
+        acts = [
+            (name, act.strip())
+            for name, cell in zip(names, cells, strict=True)
+            for act in cell.split(",")
+            if cell
+        ]
+        found.append(Row(after_ack, int(float(seconds or 0) * SECOND), acts, order))
+    return zones, found
+
+
+class Story:
+    """It owns the world, and when the last order was acknowledged (None while one is under way)."""
+
+    def __init__(self, text: str, scene: Scene) -> None:
+        zones, self.rows = rows(text)
+        self.world = warmed(replace(scene, zones=zones))
+        self.began = self.ack_at = self.world.at
+        self.open = 0  # orders not yet acknowledged
+
+    def run(self) -> list[str]:
+        """What was seen that may not be."""
+        world, judge = self.world, self.world.judge
+        for row in self.rows:
+            if row.after_ack:
+                self.wait()
+            world.run(row.at + (self.ack_at if row.after_ack else self.began))
+            for ip, act in row.cells:
+                self.act(ip, act)
+            if row.order:
+                for order in row.order.split(","):
+                    self.order(order.strip())
+            if judge.wrong:
+                return judge.wrong
+        self.wait()
+        world.run(world.at + LAST)
+        return judge.wrong
+
+    def wait(self) -> None:
+        """In steps: what follows an acknowledgement follows at once."""
+        until = self.world.at + PATIENCE
+        while self.open and self.world.at < until and not self.world.judge.wrong:
+            self.world.run(self.world.at + MS)
+        if self.open and not self.world.judge.wrong:
+            self.world.judge.say("an order is not settled")
+
+    def act(self, ip: str, act: str) -> None:
+        world = self.world
+        if act in ACTS:
+            ACTS[act](world, ip)
+        elif act in ("leads", "idle"):
+            if world.holds(ip) != (act == "leads"):
+                world.judge.say(f"machine {ip} is not as told: {act}")
+        elif act[0] == "x":
+            world.cuts |= {(ip, act[1:]), (act[1:], ip)}
+        else:
+            world.cuts -= {(ip, act[1:]), (act[1:], ip)}
+
+    def order(self, text: str) -> None:
+        """`r5`, `evacuate Z`, `return Z`, `reads r5`; `... at 1`: to that machine, else to the primary;
+        `... once`: not again, and nobody waits for it."""
+        text, once_only, _ = text.partition(" once")
+        self.open += not once_only
+        text, _, to = text.partition(" at ")
+        kind, _, what = text.partition(" ")
+        world = self.world
+
+        def done(ok: bool) -> None:
+            if once_only:
+                return
+            if ok:
+                self.open, self.ack_at = self.open - 1, world.at
+            else:
+                world.after(100 * MS, once)
+
+        def read(version: int | None) -> None:
+            if version is not None and version != int(what[1:]):
+                world.judge.say(f"r{version} was read, not {what}")
+            done(version is not None)
+
+        def once() -> None:
+            ip = to or next((ip for ip in world.machines if world.holds(ip)), "1")
+            if kind == "reads":
+                world.retrieve(ip, read)
+            elif kind in ("evacuate", "return"):
+                world.evacuate(ip, what, kind == "evacuate", done)
+            else:
+                world.replace(ip, int(kind[1:]), done)
+
+        once()
+
+
+def warmed(scene: Scene) -> World:
+    """A world in which the first machine leads."""
+    while True:
+        world = World(scene)
+        for ip in world.seeds:
+            world.after(world.rng.randrange(100 * MS), partial(world.start, ip, first=True))
+        world.run(WARM_UP)
+        if world.holds("1"):
+            return world
+        scene = replace(scene, seed=scene.seed + 1000)
