--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -445,12 +445,30 @@
             self.assertEqual((Kind.BAD_STORE, 1), (fault.kind, len(fault.text.splitlines())))
             self.assertEqual(before, {p.name: p.read_bytes() for p in (self.folder / name).iterdir()})
 
-    def test_a_row_that_rotted_is_found_and_a_new_file_begun(self) -> None:
+    def test_a_spoilt_file_is_found_and_a_new_one_begun(self) -> None:
+        def rotten(store: Store) -> None:
+            assert store.link is not None
+            store.link.execute("UPDATE kept SET value = 'rotten' WHERE name = 'configuration'")
+
+        def garbage(store: Store) -> None:
+            store.close()
+            file = store.folder / NAME
+            file.write_bytes(file.read_bytes()[:100] + b"x" * 5000)
+
+        for spoil in (rotten, garbage):
+            store = self.store(spoil.__name__)
+            store.save(self.kept(5, b"body", 3))
+            spoil(store)
+            store.close()
+            store = self.store(spoil.__name__)
+            self.assertIsInstance(store.load(), Failure)
+            self.assertEqual(Success(None), store.save(self.kept(6)))
+            store.close()
+            self.assertEqual(Success(self.kept(6)), self.store(spoil.__name__).load())
+            self.assertTrue((store.folder / f"{NAME}.bad").exists())
+
+    def test_a_folder_in_use_stays_as_it_is(self) -> None:
         store = self.store()
-        store.save(self.kept(5, b"body", 3))
-        store.link.execute("UPDATE kept SET value = 'rotten' WHERE name = 'configuration'")
-        self.assertIsInstance(store.load(), Failure)
-        self.assertEqual(Success(None), store.save(self.kept(6)))
-        store.close()
-        self.assertEqual(Success(self.kept(6)), self.store().load())
-        self.assertTrue((self.folder / "own" / f"{NAME}.bad").exists())
+        store.save(self.kept(1))
+        self.assertEqual(Kind.BAD_STORE, Store.open(str(self.folder / "own")).failure().kind)
+        self.assertEqual(Success(self.kept(1)), store.load())
--- a/vetchusher/comb/store.py
+++ b/vetchusher/comb/store.py
@@ -10,6 +10,7 @@
 import os
 import sqlite3
 import struct
+from collections.abc import Iterable
 from pathlib import Path
 
 from blake3 import blake3
@@ -28,13 +29,16 @@
 HEADER = b"SQLite format 3\x00"
 HEADER_BYTES, FORMAT_AT, APPLICATION_AT = 72, 60, 68  # of the file; sqlite.org/fileformat2.html
 PAGES_LEFT = 256  # in the log before it is carried over
+LOCKED_S = 0.2  # that a folder's last process may take to end
+LOG_BYTES = 2_000_000  # to which it is then cut
+SPOILT = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
 TABLE = "CREATE TABLE kept (name TEXT PRIMARY KEY, value BLOB NOT NULL, digest BLOB NOT NULL)"
 
 
 class Store:
     """One folder's.  It owns the file and its log; the log is carried over every `PAGES_LEFT` pages."""
 
-    def __init__(self, folder: Path, link: sqlite3.Connection) -> None:
+    def __init__(self, folder: Path, link: sqlite3.Connection | None) -> None:
         self.folder = folder
         self.link = link
         self.broken = False  # nothing in the file can be trusted: the next save begins a new one
@@ -42,31 +46,42 @@
 
     @staticmethod
     def open(folder: str) -> Result[Store, Fault]:
-        """Of a folder that is empty or ours.  One of another kind, or of a newer format, is left as it
-        was."""
+        """Of a folder that is empty or ours.
+
+        A failure says in a line what stands in the way: a file of another kind or of a newer format, which is
+        left as it was; another process that uses it; a disk that does not answer.  Ours, but spoilt, opens,
+        and fails at `load`.
+        """
         place = Path(folder)
         try:
-            place.mkdir(parents=True, exist_ok=True)
+            if not place.exists():
+                place.mkdir(parents=True)
             fault = strange(place / NAME)
             if fault:
                 return Failure(Fault(Kind.BAD_STORE, f"{place / NAME}: {fault}"))
             if not (place / NAME).exists():
                 create(place)
             return Success(Store(place, connect(place / NAME)))
-        except (OSError, sqlite3.Error) as error:
+        except sqlite3.DatabaseError as error:
+            if getattr(error, "sqlite_errorcode", 0) in SPOILT:
+                return Success(Store(place, None))
+            return Failure(Fault(Kind.BAD_STORE, f"{place / NAME}: {error}"))
+        except OSError as error:
             return Failure(Fault(Kind.BAD_STORE, f"{place}: {error}"))
 
     def load(self) -> Result[Kept | None, Fault]:
         """What was saved last; None: nothing ever was.
 
-        On a failure the caller goes on as with an empty disk (`first_start` false: forgetful, and all
-        others are asked); the file is put aside as `comb.sqlite3.bad` by the next save.
+        On a failure the caller goes on as with an empty disk (`first_start` false: forgetful, and all others
+        are asked); the file is put aside as `comb.sqlite3.bad` by the next save.
         """
         kept = self.read()
         self.broken = not isinstance(kept, Success)
         return kept
 
     def read(self) -> Result[Kept | None, Fault]:
+        if self.link is None:
+            return self.bad("is spoilt")
         try:
             rows = self.link.execute("SELECT name, value, digest FROM kept").fetchall()
             for name, value, told in rows:
@@ -90,17 +105,18 @@
     def save(self, kept: Kept) -> Result[None, Fault]:
         """Synced on return.  After a failure the disk holds what it held, or this."""
         try:
-            if self.broken:
-                self.begin_anew()
-            self.write(kept)
+            if self.broken or self.link is None:
+                self.link = self.begin_anew()
+            self.write(self.link, kept)
             return Success(None)
         except (OSError, sqlite3.Error) as error:
-            with contextlib.suppress(sqlite3.Error):
-                self.link.execute("ROLLBACK")
             self.configuration = None
+            if self.link is not None and self.link.in_transaction:
+                with contextlib.suppress(sqlite3.Error):
+                    self.link.execute("ROLLBACK")
             return Failure(Fault(Kind.BAD_STORE, f"{self.folder / NAME}: {error}"))
 
-    def write(self, kept: Kept) -> None:
+    def write(self, link: sqlite3.Connection, kept: Kept) -> None:
         """The configuration's row only where it changed: a promise costs a page or two."""
         head, body = changed(kept.state), kept.state.configuration
         head.configuration, head.configuration_left_out = b"", True
@@ -108,23 +124,25 @@
         known = digest("configuration", body)
         if known == self.configuration:
             del rows["configuration"]
-        self.link.execute("BEGIN IMMEDIATE")
+        link.execute("BEGIN IMMEDIATE")
         for name, value in rows.items():
-            self.link.execute("REPLACE INTO kept VALUES (?, ?, ?)", (name, value, digest(name, value)))
-        self.link.execute("COMMIT")
+            link.execute("REPLACE INTO kept VALUES (?, ?, ?)", (name, value, digest(name, value)))
+        link.execute("COMMIT")
         self.configuration = known
 
-    def begin_anew(self) -> None:
-        self.link.close()
+    def begin_anew(self) -> sqlite3.Connection:
+        self.close()
         path = self.folder / NAME
         if path.exists():
             path.replace(path.with_name(f"{NAME}.bad"))
         create(self.folder)
-        self.link = connect(path)
         self.broken, self.configuration = False, None
+        return connect(path)
 
     def close(self) -> None:
-        self.link.close()
+        if self.link is not None:
+            self.link.close()
+            self.link = None
 
 
 def digest(name: str, value: bytes) -> bytes:
@@ -150,15 +168,13 @@
     one."""
     path, made = folder / NAME, folder / f"{NAME}.new"
     # Danger: sqlite would take a log left by a file that is gone for this one's.
-    for old in (
-        made,
-        *(path.with_name(NAME + tail) for tail in ("-wal", "-journal", ".new-wal", ".new-journal")),
-    ):
+    left = ("-wal", "-journal", ".new", ".new-wal", ".new-journal")
+    for old in (path.with_name(NAME + tail) for tail in left):
         old.unlink(missing_ok=True)
-    link = connect(made)
-    link.execute(f"PRAGMA application_id={APPLICATION}")
-    link.execute(f"PRAGMA user_version={FORMAT}")
+    link = sqlite3.connect(made, isolation_level=None)
+    settle(link, ["synchronous=OFF", f"application_id={APPLICATION}", f"user_version={FORMAT}"])
     link.execute(TABLE)
+    settle(link, ["locking_mode=EXCLUSIVE", "journal_mode=WAL"])
     link.close()
     sync(made)
     made.replace(path)
@@ -166,15 +182,20 @@
 
 
 def connect(path: Path) -> sqlite3.Connection:
-    link = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+    link = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=LOCKED_S)
     # Exclusive before anything is read: sqlite then keeps the log's index in the process, and makes no file
     # of it.
-    for line in ("locking_mode=EXCLUSIVE", "mmap_size=0", "journal_mode=WAL", "synchronous=FULL"):
-        link.execute(f"PRAGMA {line}").fetchall()
-    link.execute(f"PRAGMA wal_autocheckpoint={PAGES_LEFT}").fetchall()
+    settle(link, ["locking_mode=EXCLUSIVE", "mmap_size=0", "journal_mode=WAL", "synchronous=FULL"])
+    settle(link, [f"wal_autocheckpoint={PAGES_LEFT}", f"journal_size_limit={LOG_BYTES}"])
+    link.execute("SELECT name FROM kept").fetchall()
     return link
 
 
+def settle(link: sqlite3.Connection, pragmas: Iterable[str]) -> None:
+    for pragma in pragmas:
+        link.execute(f"PRAGMA {pragma}").fetchall()
+
+
 def sync(path: Path) -> None:
     handle = os.open(path, os.O_RDONLY)
     try:
