--- a/vetchusher/hive/tries.py
+++ b/vetchusher/hive/tries.py
@@ -28,7 +28,9 @@
 )
 STATED_PART = 0.8  # of the idle time that a server states: a request written near its end would be lost
 UNSTATED_S = 0.5  # a server that states none keeps idle connections for less than a second
-TRUSTED_S = 0.25  # idle for longer, a connection is none for what may run once only
+# What may run once only goes on a connection that was idle for a small part of the time for which idle ones
+# live, as the server states it and as resets have shown it; for less than TRUSTED_S on any.
+TRUSTED_PART, TRUSTED_S = 0.3, 0.25
 PROMPT_US = 250_000  # a reset before any byte of an answer and within this time: the server was full
 STALL_S = 0.03  # a timer that fires so much too late tells of a stall of this process
 USER_TIMEOUT_MS = 2_500  # unacknowledged bytes: the path is gone (a server at work acknowledges them)
@@ -120,7 +122,9 @@
 
 
 def fits(attempt: Attempt, link: Link, idle: float) -> bool:
-    return idle <= TRUSTED_S or not attempt.send.trusted
+    if not attempt.send.trusted or idle <= TRUSTED_S:
+        return True
+    return idle <= TRUSTED_PART * min(link.trust.span(asyncio.get_running_loop().time()), link.idle_most)
 
 
 def new_socket(addr: Any) -> socket.socket:
