Read settings and configurations by their schemas, compiled to code

The same rules stood twice: in the schemas, used by `check` only, and in readers by hand. Now the schema is the one place of structure; code says only what a schema cannot (services that routes name, twins, one holder a credential, weights that sum to 0, the order of two ports). What a refusal says stands beside the rule (`refusals`, `writeOnly`).

jsonschema costs 50 ms and 3 MB at each start and 240 ms for 400 routes, so its nearest kin: fastjsonschema makes Python code. That alone takes 50 to 150 ms, so the build writes the code down (settings/compiling.py, into target/deps) and a process only imports it; code of another schema is not taken but made anew. The code is made lean: no copies of definitions, no functions a `$ref`, no modules that only it needs.

The keeper has configurations read in a thread of its own (hive/reading.py), eight at one time. Bodies at the control door are bounded by min(16 MiB, memory / 64): the worst form takes 36 times its length to read.

r0 is refused: 0 says "none yet" between processes. A chunk that cannot be read ends the body it came in: the caller gets 400 at once, not 408 after 10 s; aiohttp kept it for the next request.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -188,6 +188,18 @@
         with mock.patch.object(orders, "READ_S", 0.05), mock.patch.object(orders, "SETTLE_S", 0.05):
             self.assertThat(self.talk(Settler(), script), Equals((408, 503, 0)))
 
+    def test_a_chunk_that_cannot_be_read_is_answered_at_once(self):
+        async def script(connect, door):
+            reader, writer = await connect()
+            head = message("GET /configuration/replace", b"", "Transfer-Encoding: chunked")
+            writer.write(head.replace(b"GET", b"POST") + b"2\r\nxx\r\n")
+            while not door.held:
+                await asyncio.sleep(0.001)
+            writer.write(b"no\r\n")
+            return (await read_answer(reader))[0], door.settle.calls, door.held
+
+        self.assertThat(self.talk(Settler(), script), Equals((400, [], 0)))
+
     def test_who_reads_no_answer_is_cut(self):
         async def script(connect, door):
             _, writer = await connect()
--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -1,12 +1,15 @@
 """What a process is told, and what operators send: taken whole, or turned down with its place."""
 
+import asyncio
 import contextlib
 import copy
+import gc
 import io
 import json
 import logging
 import pathlib
 import re
+import sys
 import tempfile
 import tomllib
 from types import SimpleNamespace
@@ -22,9 +25,10 @@
 
 from vetchusher import comb
 from vetchusher.events import Event, Note
-from vetchusher.hive import cli, log
+from vetchusher.fields import FieldError
+from vetchusher.hive import cli, log, reading
 from vetchusher.kinds import Kind
-from vetchusher.settings import configuration, node
+from vetchusher.settings import compiled, compiling, node
 from vetchusher.settings.configuration import read_configuration
 from vetchusher.settings.document import misfit
 from vetchusher.settings.node import node_of, read_node
@@ -110,6 +114,11 @@
 # Where, what, and how the message goes on after `configuration`; FormsTest sees to plain types and ranges.
 INVALID = (
     ("version", "r٣", ".version: 'r٣' is not r and a number"),
+    (
+        "version",
+        "r000",
+        ".version: 'r000' is not r and a number above 0",
+    ),  # 0 says "none yet" between processes
     ("routes", ..., ".routes: is missing"),
     ("routes.0.service", "three", ".routes[0].service: 'three' is none of the services"),
     ("routes.0.service", ..., ".routes[0].service: either this or"),
@@ -206,8 +215,9 @@
         self.assertThat(read_configuration(raw).unwrap().version, Equals(1))
 
     def test_no_credential_is_shown(self):
-        fault = read(changed("subscribers.1.credentials", ["k1"])).failure()
-        self.assertNotIn("k1", fault.text)
+        for value in (["k1"], "k1", [["k1"]]):
+            fault = read(changed("subscribers.1.credentials", value)).failure()
+            self.assertNotIn("k1", fault.text)
 
 
 def folder_for(test):
@@ -260,7 +270,7 @@
     @given(st.sampled_from(places(TREE)), values())
     def test_a_configuration(self, path, value):
         tree = changed(path, value)
-        allowed = misfit(tree, configuration.SCHEMA)
+        allowed = misfit(tree, compiled.HERE / "configuration.schema.json")
         outcome = read_configuration(json.dumps(tree).encode())
         if is_successful(outcome):
             self.assertThat(allowed, Equals(None))
@@ -272,7 +282,7 @@
     @given(st.sampled_from(places(tomllib.loads(NODE))), values().filter(lambda v: v is not None))
     def test_settings(self, path, value):
         tree = changed(path, value, tomllib.loads(NODE))
-        outcome, allowed = node_of(tree), misfit(tree, node.SCHEMA)
+        outcome, allowed = node_of(tree), misfit(tree, compiled.HERE / "node.schema.json")
         if is_successful(outcome):
             self.assertThat(allowed, Equals(None))
         elif allowed is None:  # only what no schema can say
@@ -307,7 +317,7 @@
     routes = draw(st.lists(st.builds(dict.__or__, route, target), max_size=5))
     tenants = draw(st.lists(st.tuples(NAMES, st.integers(0, 9)), max_size=4, unique_by=lambda t: t[0]))
     return {
-        "version": f"r{draw(st.integers(0, 10**18 - 1))}",
+        "version": f"r{draw(st.integers(1, 10**18 - 1))}",
         "routes": list({(r["host"].lower(), r["path_prefix"]): r for r in routes}.values()),
         "services": [{"name": name, "cold_s": draw(st.floats(0, 9))} for name in services],
         "subscribers": [
@@ -341,6 +351,42 @@
         self.assertThat(configuration_of({}).failure().text, Equals("rows without a version"))
 
 
+class CompiledTest(testtools.TestCase):
+    def test_code_of_the_build_is_taken_while_it_is_of_this_schema(self):
+        folder = folder_for(self)
+        compiling.write_down(str(folder))
+        path = folder / compiled.PACKAGE / "node.py"
+        written = path.read_text() + "\ndef validate(*_): raise Misfit([], 'built', 0, 'type')\n"
+        says = []
+        for source in (written, written.replace("SCHEMA = '", "SCHEMA = 'old")):
+            path.write_text(source)
+            for name in [name for name in sys.modules if name.startswith(compiled.PACKAGE)]:
+                del sys.modules[name]
+            with mock.patch.object(sys, "path", [str(folder), *sys.path]):
+                form = compiled.form.__wrapped__("node")
+            says.append(self.assertRaises(FieldError, form.check, [], "settings").args[0])
+        self.assertThat(says, Equals(["built: [] is no object", "settings: [] is no object"]))
+
+
+class ReadingTest(testtools.TestCase):
+    def test_few_are_read_at_one_time_and_the_last_is_known(self):
+        raw = json.dumps(TREE).encode()
+
+        async def many():
+            one = reading.Reading(asyncio.get_running_loop())
+            self.addCleanup(one.close)
+            found = await asyncio.gather(*(one.read(raw) for _ in range(reading.MOST_WAITING + 1)))
+            bad = await one.read(b"{}")
+            return found, bad, one.known(raw).unwrap() is found[-2].unwrap(), one.waiting
+
+        found, bad, known, waiting = asyncio.run(many())
+        self.assertThat([is_successful(each) for each in found], Equals([True] * 8 + [False]))
+        self.assertThat(
+            (found[-1].failure().kind, bad.failure().kind), Equals((Kind.NOT_SETTLED, Kind.INVALID))
+        )
+        self.assertThat((known, waiting, gc.isenabled()), Equals((True, 0, True)))
+
+
 class SettingsFileTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -378,6 +424,10 @@
                 "settings.bounds.drain_ms: '3 s' is no number",
             ),
             (NODE.replace('zone = "north-1"', ""), "settings.zone: is missing"),
+            (
+                NODE.replace("drain_ms = 3000", "drain_ms = nan"),
+                "settings.bounds.drain_ms: b'nan' is no number",
+            ),
             (NODE + "\n[cloud", "Expected"),
             (b"\xff", "decode"),
         ):
--- a/vetchusher/hive/cli.py
+++ b/vetchusher/hive/cli.py
@@ -19,7 +19,7 @@
 
 from vetchusher import __version__
 from vetchusher.kinds import Fault, Kind
-from vetchusher.settings.node import SCHEMA, NodeSettings, node_of, read_tree
+from vetchusher.settings.node import NodeSettings, read_node
 
 from .start import CONFIG, UNUSABLE, start
 
@@ -101,21 +101,8 @@
     return Failure(Fault(kind, text))
 
 
-def fitting(line: str, path: str, tree: Any, schema: pathlib.Path) -> Result[str, Fault]:
-    """The line, where the schema allows the tree as the program does."""
-    # Loaded for people only: a process reads without the schema library.
-    from vetchusher.settings.document import misfit
-
-    fault = misfit(tree, schema)
-    return Success(line) if fault is None else bad(f"{path}: {fault}")
-
-
 def checked_settings(path: str) -> Result[str, Fault]:
-    return read_tree(path).bind(
-        lambda tree: node_of(tree, path).bind(
-            lambda node: fitting(f"{path}: {told(node)}", path, tree, SCHEMA)
-        )
-    )
+    return read_node(path).map(lambda node: f"{path}: {told(node)}")
 
 
 def told(node: NodeSettings) -> str:
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -15,7 +15,7 @@
 from vetchusher.kinds import Fault, Kind
 from vetchusher.limits.totals import Holder
 from vetchusher.scouts.reader import Reader
-from vetchusher.settings.configuration import Configuration, read_configuration
+from vetchusher.settings.configuration import Configuration
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
@@ -27,6 +27,7 @@
 from .following import Following
 from .paths import Channel, Paths
 from .platform import Platform
+from .reading import Reading
 from .saving import Saving
 
 TICK_S = 0.05
@@ -56,6 +57,7 @@
             node.ip_address, node.zone, seeds, node.first_start, kept, comb.Timing(), rng, now()
         )
         self.saving = Saving(loop, store, self.saved, note)
+        self.reading = Reading(loop)
         self.presence = Presence()
         self.comb, self.scouts, self.entrance = Ledger("comb"), Ledger("scouts"), Ledger("entrance")
         self.sources = {led.source: led for led in (self.comb, self.scouts, self.entrance)}
@@ -107,7 +109,7 @@
     def committed(self, state: wire.CombState) -> None:
         """Tell what has become part of the state: rows of the configuration, and zones evacuated."""
         if state.version and state.configuration != self.configuration_raw:
-            match read_configuration(state.configuration):
+            match self.reading.known(state.configuration):
                 case Success(configuration):
                     self.configuration, self.configuration_raw = configuration, state.configuration
                 case Failure(fault):  # it was checked before it was stored: this program is older
@@ -187,7 +189,7 @@
                     return Failure(Fault(Kind.NOT_SETTLED, "no ingress is known here"))
                 return Success(orders.Resolved(tuple(fronts), min(TTL_S, self.node.bounds.ttl_max_s)))
             case orders.ReplaceConfiguration(body):
-                checked = read_configuration(body)
+                checked = await self.reading.read(body)
                 if isinstance(checked, Failure):
                     return Failure(checked.failure())
                 order = comb.Replace(checked.unwrap().version, body)
@@ -237,7 +239,7 @@
             asked = frame.order
             kind = asked.WhichOneof("order")
             if kind == "replace":
-                checked = read_configuration(asked.replace.body)
+                checked = await self.reading.read(asked.replace.body)
                 if isinstance(checked, Failure):
                     outcome = Failure(checked.failure())
                 else:
@@ -385,3 +387,4 @@
             self.duty.cancel()
         await self.platform.close()
         self.saving.close()
+        self.reading.close()
--- a/vetchusher/hive/process.py
+++ b/vetchusher/hive/process.py
@@ -23,6 +23,12 @@
 from .paths import Channel, Paths
 
 LOOK_S = 1.0  # between two looks at the settings file, which may change without a signal
+MOST_CONFIGURATION = (
+    16 << 20
+)  # bytes: with what is around it, it has to fit into one frame (`paths.MOST_FRAME`)
+PARTS = (
+    64  # of memory, one of them for configurations: of the worst form, one takes 36 times its length to read
+)
 END_S = 0.4  # of the grace: kept for taking things apart
 
 
@@ -50,6 +56,11 @@
     return time.monotonic_ns() // 1000
 
 
+def most_configuration(node: NodeSettings) -> int:
+    """Bytes that an operator's configuration may have, and all that come at one time."""
+    return min(MOST_CONFIGURATION, node.limits.memory_mb * (1 << 20) // PARTS)
+
+
 class Process:
     def __init__(self, loop: asyncio.AbstractEventLoop, node: NodeSettings, path: str) -> None:
         self.loop, self.node, self.path = loop, node, path
@@ -112,7 +123,7 @@
         )
         self.parts.append(keeper)
         if node.listen.control is not None:
-            self.doors.append(ControlDoor(keeper.settle, node.listen.control))
+            self.doors.append(ControlDoor(keeper.settle, node.listen.control, most_configuration(node)))
         if node.listen.directory is not None:
             self.doors.append(DirectoryDoor(keeper.settle, node.listen.directory))
         for door in self.doors:
--- a/vetchusher/net/door.py
+++ b/vetchusher/net/door.py
@@ -12,7 +12,7 @@
 from typing import Any, cast
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from .links import unread
 
@@ -74,6 +74,13 @@
         super().data_received(data)
         # Danger: between here and its handler a command that was read would look like none.
         self.busy = self.busy or bool(self._messages)
+        request = self._current_request
+        if request is not None and self._messages and isinstance(self._messages[-1][0], _ErrInfo):
+            # Danger: aiohttp keeps what it cannot read for the next request; whoever reads this one's body
+            # would wait for it as long as it may.
+            if not request.content.is_eof():
+                request._cancel(web.RequestPayloadError("the body cannot be read"))
+                request.content.feed_eof()  # nothing more is read from it, not even to be forgotten
 
     def answered(self) -> None:
         self.busy, self.begun, self.since = bool(self._messages), False, self.door.loop.time()
--- a/vetchusher/net/server.py
+++ b/vetchusher/net/server.py
@@ -156,6 +156,8 @@
             raise Rejected(413, "the body is too long") from None
         except TimeoutError:
             raise Rejected(408, "the body did not come in time") from None
+        except web.RequestPayloadError:
+            raise Rejected(400, "the body cannot be read") from None
 
     def serve(self, command: int, answer: object) -> None:
         self.give(command, answer if isinstance(answer, Streamed) else web.Response(body=answer))
--- a/vetchusher/settings/node.py
+++ b/vetchusher/settings/node.py
@@ -1,27 +1,27 @@
 """What the platform tells a process: its settings file, read into one immutable value.
 
-Read by `fields.Fields`, not by the schema library: every start pays 50 ms and 3 MB for that one.
-`node.schema.json` says the same for people and for `check`; a test holds the two together.
+What it has to be like stands in `node.schema.json`; here is what no schema can say, and the defaults.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 import pathlib
-import re
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, TypeVar, cast
 
 from returns.result import Failure, Result, Success
 
-from vetchusher.fields import FieldError, Fields, shown
+from vetchusher.fields import FieldError, shown
 from vetchusher.kinds import Fault, Kind
 
+from .compiled import form
+
 Address = tuple[str, int]  # an IP number or name, and a port
 T = TypeVar("T")
-ADDRESS = re.compile(r"([0-9A-Za-z._-]+):([0-9]{1,5})")
-SCHEMA = pathlib.Path(__file__).parent / "node.schema.json"
 MOST_BYTES = 1 << 20
 MOST_TEXT = 300  # characters of a message: it quotes what the file says
 
@@ -163,15 +163,22 @@
     if len(raw) > MOST_BYTES:
         return bad(path, f"more than {MOST_BYTES} bytes")
     try:
-        return Success(tomllib.loads(raw.decode()))
+        return Success(tomllib.loads(raw.decode(), parse_float=figure))
     except (ValueError, RecursionError) as err:
         return bad(path, str(err))
 
 
+def figure(text: str) -> float | bytes:
+    """Danger: nan is neither above nor below any bound. As bytes it is no number, and the schema says so."""
+    value = float(text)
+    return text.encode() if math.isnan(value) else value
+
+
 def node_of(tree: dict[str, Any], path: str = "settings") -> Result[NodeSettings, Fault]:
     """:param path: named in a failure's text"""
     try:
-        return Success(node(Fields(tree, "settings")))
+        form("node").check(tree, "settings")
+        return Success(node(tree))
     except FieldError as err:
         return bad(path, str(err))
 
@@ -180,73 +187,54 @@
     return Failure(Fault(Kind.BAD_SETTINGS, f"{path}: {' '.join(text.split())[:MOST_TEXT]}"))
 
 
-def node(fields: Fields) -> NodeSettings:
-    """:raises FieldError: with the place"""
-    own = {f: needed(fields, f) for f in ("node_name", "ip_address", "zone", "region")}
-    plain = {f: fields.text(f) for f in ("role", "machine_class", "discovery", "entry", "data_directory")}
-    listen = fields.object("listen")
-    return NodeSettings(
-        **own,
-        **plain,
-        internal_ports=ports(fields),
-        seed_nodes=tuple(
-            address(text, f"{fields.place}.seed_nodes[{number}]")
-            for number, text in enumerate(fields.texts("seed_nodes"))
-        ),
-        serves=frozenset(fields.texts("serves")),
+def node(tree: dict[str, Any]) -> NodeSettings:
+    """:param tree: one that the schema allows
+    :raises FieldError: for what no schema can say
+    """
+    first, last = map(int, tree["internal_ports"])
+    if first > last:
+        raise FieldError(f"settings.internal_ports: {shown([first, last])} is no first and last port")
+    listen = tree.get("listen", {})
+    given = {f.name: tree[f.name] for f in dataclasses.fields(NodeSettings) if f.name in tree}
+    given |= {
+        "internal_ports": (first, last),
+        "seed_nodes": tuple(map(address, tree.get("seed_nodes", ()))),
+        "serves": frozenset(tree.get("serves", ())),
         # Danger: a disk that is wrongly taken for a new one has forgotten what it promised, and votes.
-        first_start=fields.flag("first_start"),
-        counted=fields.flag("counted"),
-        beat_interval_ms=fields.positive("beat_interval_ms", NodeSettings.beat_interval_ms),
-        contracts=frozenset(fields.texts("contracts")),
-        config_mode=fields.text("config_mode", NodeSettings.config_mode),
-        zones={name: fields.object("zones").text(name) for name in fields.object("zones").tree},
-        listen=Listen(**{f.name: optional_address(listen, f.name) for f in dataclasses.fields(Listen)}),
-        limits=figures(MachineLimits, fields.object("limits")),
-        tolerance=figures(Tolerance, fields.object("tolerance")),
-        bounds=figures(Bounds, fields.object("bounds")),
-        cloud_api=cloud_api(fields.object("cloud_api")) if fields.value("cloud_api") is not None else None,
-    )
-
-
-def cloud_api(fields: Fields) -> CloudApi:
+        "first_start": bool(tree.get("first_start", False)),
+        "counted": bool(tree.get("counted", False)),
+        "beat_interval_ms": int(tree.get("beat_interval_ms", 0)) or NodeSettings.beat_interval_ms,
+        "contracts": frozenset(tree.get("contracts", ())),
+        "listen": Listen(**{f.name: place(listen, f.name) for f in dataclasses.fields(Listen)}),
+        "limits": figures(MachineLimits, tree.get("limits", {})),
+        "tolerance": figures(Tolerance, tree.get("tolerance", {})),
+        "bounds": figures(Bounds, tree.get("bounds", {})),
+        "cloud_api": cloud_api(tree["cloud_api"]) if "cloud_api" in tree else None,
+    }
+    return NodeSettings(**given)
+
+
+def cloud_api(tree: dict[str, Any]) -> CloudApi:
     return CloudApi(
-        address(needed(fields, "address"), f"{fields.place}.address"),
-        fields.number("rate_per_s", CloudApi.rate_per_s),
-        fields.whole("lag_ms", CloudApi.lag_ms),
-        fields.texts("functions"),
+        address(tree["address"]),
+        float(tree.get("rate_per_s", CloudApi.rate_per_s)),
+        int(tree.get("lag_ms", CloudApi.lag_ms)),
+        tuple(tree.get("functions", ())),
     )
 
 
-def figures(kind: type[T], fields: Fields) -> T:
-    """A record of numbers and flags, each absent one by its default."""
-    read: dict[str, Any] = {"int": fields.whole, "float": fields.number, "bool": fields.flag}
+def figures(kind: type[T], tree: dict[str, Any]) -> T:
+    """A record of numbers and flags, each absent one by its default, and cut to whole where it has to be."""
+    as_is: dict[str, Callable[[Any], Any]] = {"int": int, "float": float, "bool": bool}
     known = dataclasses.fields(cast(Any, kind))
-    return kind(**{f.name: read[str(f.type)](f.name, f.default) for f in known})
-
-
-def ports(fields: Fields) -> tuple[int, int]:
-    given = fields.list("internal_ports", needed=True)
-    if len(given) != 2 or not all(type(p) is int and 0 < p < 65_536 for p in given) or given[0] > given[1]:
-        raise fields.fault("internal_ports", f"{shown(given)} is no first and last port")
-    return given[0], given[1]
-
-
-def needed(fields: Fields, name: str) -> str:
-    text = fields.text(name)
-    if not text:
-        raise fields.fault(name, "is missing")
-    return text
+    return kind(**{f.name: as_is[str(f.type)](tree.get(f.name, f.default)) for f in known})
 
 
-def optional_address(fields: Fields, name: str) -> Address | None:
-    text = fields.text(name)
-    return address(text, f"{fields.place}.{name}") if text else None
+def place(listen: dict[str, str], name: str) -> Address | None:
+    text = listen.get(name, "")
+    return address(text) if text else None
 
 
-def address(text: str, place: str) -> Address:
-    """:raises FieldError: where it is not `host:port`"""
-    found = ADDRESS.fullmatch(text)
-    if found is None or not 0 < int(found[2]) < 65_536:
-        raise FieldError(f"{place}: {shown(text)} is no host:port")
-    return found[1], int(found[2])
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
