--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -263,7 +263,7 @@
     async def test_what_may_run_once_goes_on_connections_that_are_surely_alive(self):
         server = StandIn("i-1", moods=["surplus"])
         async with ingress(server) as (front, port):
-            for idle, connections in ((0, 1), (0.05, 2), (0.05, 2), (0.3, 3)):
+            for idle, connections in ((0, 1), (0.05, 2), (0.05, 2), (0.3, 2), (0.6, 3)):
                 await asyncio.sleep(idle)
                 await ask(port, "POST /once/1", b"x")
                 self.assertEqual(connections, server.connections)
