--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -249,6 +249,17 @@
         """,
         Scene(),
     ),
+    "a backup stopped with old letters waiting": (
+        """
+        s       | 1 east | 2 east       | 3 west | operator
+        0       |        |              |        | r5
+        ack     |        | stops        |        |
+        ack+0.5 |        |              |        | r6
+        ack+6   |        | goes on, cut |        |
+        ack+8   |        | joined       |        |
+        """,
+        Scene(),
+    ),
     "two operators": (
         """
         s     | 1 east | 2 east | 3 west | operator
@@ -298,6 +309,7 @@
     "a word is asked for while an older one counts": "asked while its word still counted",
     "two join at once": "two machines join at once",
     "in force without the newest": "one that got no writes",
+    "letters that waited through a stop are news": "a backup stopped with old letters waiting",
 }
 TRIES = 10  # seeds, until a planted fault must have been found
 
--- a/vetchusher/comb/acts.py
+++ b/vetchusher/comb/acts.py
@@ -20,6 +20,7 @@
         The rest of the lease is what two steady clocks may drift apart in that time
     :param other_zone_us: how long a write waits for a copy in another zone
     :param heard_us: who was heard within it is up
+    :param stopped_us: a machine that ran nothing for so long stood still; ticks come ten times as often
     :param regain_us: how long a primary whose lease ran out goes on asking before it gives up its epoch
     :param courtesy_us: after a promise, no other candidate is encouraged for so long
     :param anew_us: when nobody remembers anything at all: how long to look for somebody before beginning anew
@@ -31,6 +32,7 @@
     held_us: int = 1_350_000
     other_zone_us: int = 2_000_000
     heard_us: int = 1_000_000
+    stopped_us: int = 500_000
     regain_us: int = 300_000
     courtesy_us: int = 400_000
     pause_us: int = 200_000
--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -82,6 +82,8 @@
         self.tries = 0  # candidacies in a row that came to nothing
         self.joined_at = now
         self._committed = CombState()
+        self.ran_at = now  # last
+        self.sure_from = now  # letters heard before it may have waited here while this machine stood still
         self.agreed_at: int | None = (
             None  # when the primary last said that what is committed here is in force
         )
@@ -126,6 +128,9 @@
     # -- inputs --------------------------------------------------------------------------------
 
     def handle(self, now: int, event: Input) -> list[Output]:
+        if now >= self.ran_at + self.timing.stopped_us:
+            self.sure_from, self.agreed_at = now + self.timing.renew_us, None
+        self.ran_at = now
         if isinstance(event, Heard):
             self.meet(now, event.sender, event.zone)
             self.letter(now, event.sender, event.letter)
@@ -283,7 +288,7 @@
             return
         if point(told) == at(self.memory.state):
             self.commit(self.memory.state)
-        if point(told) == at(self._committed):
+        if point(told) == at(self._committed) and now >= self.sure_from:
             self.agreed_at = now
 
     def commit(self, state: CombState) -> None:
--- a/vetchusher/emulator/comb_faults.py
+++ b/vetchusher/emulator/comb_faults.py
@@ -50,6 +50,11 @@
     self.timing = replace(self.timing, held_us=self.timing.lease_us)
 
 
+def never_stood_still(self: Member, *args: Any, **named: Any) -> None:
+    REAL_START(self, *args, **named)
+    self.timing = replace(self.timing, stopped_us=1 << 60)
+
+
 def follows_anybody(self: Member, now: int, sender: str, epoch: int) -> bool:
     if self.forgetful or epoch == 0:
         return False
@@ -172,6 +177,7 @@
     "a word is asked for while an older one counts": ((recall.Recalling, "__init__", asks_at_once),),
     "two join at once": ((Primary, "next_members", all_join_at_once),),
     "in force without the newest": ((Member, "agree", in_force_unseen),),
+    "letters that waited through a stop are news": ((Member, "__init__", never_stood_still),),
 }
 
 
