--- a/vetchusher/comb/primary.py
+++ b/vetchusher/comb/primary.py
@@ -14,7 +14,7 @@
 
 from vetchusher.events import Event, Note
 from vetchusher.kinds import Fault, Kind
-from vetchusher.waggle.wire_pb2 import CombLetter, CombState, Renew, Renewed, Write, Written
+from vetchusher.waggle.wire_pb2 import CombLetter, CombState, Renew, Renewed, Stamp, Write, Written
 
 from .acts import Committed, Done, Order, Output, Replace, Retrieve, Submitted, Tell, Timing
 from .memory import Memory
@@ -134,9 +134,7 @@
         self.rounds[self.round] = now
         self.rounds.pop(self.round - ROUNDS, None)
         self.renewed_at = now
-        # Without the lease nothing is said to be in force.
-        told = stamp(at(self.committed)) if self.committed is not None and self.holds(now) else None
-        letter = CombLetter(renew=Renew(epoch=self.epoch, round=self.round, committed=told))
+        letter = CombLetter(renew=Renew(epoch=self.epoch, round=self.round, committed=self.told(now)))
         out: list[Output] = [Tell(ip, letter) for ip, _ in self.all_backups()]
         for ip, backup in self.all_backups():
             behind = backup.copy < at(self.memory.state) and not backup.forgetful
@@ -182,8 +180,12 @@
         backup.last_at = now
         if backup.copy >= self.whole_from and state.version:
             state = without_configuration(state)
-        told = stamp(at(self.committed)) if self.committed is not None and self.holds(now) else None
-        return [Tell(ip, CombLetter(write=Write(epoch=self.epoch, state=state, committed=told)))]
+        write = Write(epoch=self.epoch, state=state, committed=self.told(now))
+        return [Tell(ip, CombLetter(write=write))]
+
+    def told(self, now: int) -> Stamp | None:
+        """What is committed; without the lease nothing is said to be in force."""
+        return stamp(at(self.committed)) if self.committed is not None and self.holds(now) else None
 
     def written(self, now: int, sender: str, answer: Written) -> list[Output]:
         backup = self.known(sender)
@@ -193,8 +195,10 @@
             backup.copy = START
             return self.send(now, sender, backup)
         if answer.accepted and point(answer.stamp) == backup.wrote:
+            until = backup.first_at + self.timing.held_us
+            # Danger: a late word must not borrow the time of a newer one that told less.
+            backup.copy_until = max(until, backup.copy_until) if backup.copy == backup.wrote else until
             backup.copy = backup.wrote
-            backup.copy_until = max(backup.copy_until, backup.first_at + self.timing.held_us)
         return []
 
     def copy(self, now: int, ip: str) -> Point:
