A new primary waits out its first answers before it takes its lease for lost

Found by the search where a round trip takes 0.3 s: elected and committed, it gave up before the first renewal was answered, epoch after epoch.

--- a/vetchusher/comb/primary.py
+++ b/vetchusher/comb/primary.py
@@ -85,6 +85,7 @@
         self.waiting: list[Waiting] = []
         self.reading: list[Waiting] = []
         self.vain: dict[str, Point] = {}  # who was waited for in vain, by the stamp that it did not sync
+        self.led = False  # the lease was held at least once
         self.lapsed_at: int | None = None
 
     # -- the lease -----------------------------------------------------------------------------
@@ -111,11 +112,13 @@
         """The lease ran out, and asking on did not bring it back: hearing without being heard ends it
         here."""
         if self.leads(now):
-            self.lapsed_at = None
+            self.lapsed_at, self.led = None, True
             return False
         if self.lapsed_at is None:
             self.lapsed_at = now
-        grace = self.timing.regain_us if self.committed is not None else self.timing.lease_us
+        grace = (
+            self.timing.regain_us if self.led else self.timing.lease_us
+        )  # the first answers take their time
         return now >= self.lapsed_at + grace
 
     def backup(self, ip: str) -> Backup:
--- a/vetchusher/emulator/comb_search.py
+++ b/vetchusher/emulator/comb_search.py
@@ -234,6 +234,8 @@
             self.passes(int(rng.expovariate(1 / self.search.every)) + 1)
         self.heal()
         self.passes(CATCH_UP)  # those that lost their disks, if others are to fail
+        members = self.members()
+        minority = len(members) - majority(len(members))
         spoilt = rng.sample(members, minority)
         for ip in spoilt:
             self.begin(ip, self.drawn_fault(), 2 * CALM)
