--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -82,6 +82,8 @@
         self.tries = 0  # candidacies in a row that came to nothing
         self.joined_at = now
         self._committed = CombState()
+        self.ran_at = now  # last
+        self.sure_from = now  # letters heard before it may have waited here while this machine stood still
         self.agreed_at: int | None = (
             None  # when the primary last said that what is committed here is in force
         )
@@ -126,6 +128,9 @@
     # -- inputs --------------------------------------------------------------------------------
 
     def handle(self, now: int, event: Input) -> list[Output]:
+        if now >= self.ran_at + self.timing.stopped_us:
+            self.sure_from, self.agreed_at = now + self.timing.renew_us, None
+        self.ran_at = now
         if isinstance(event, Heard):
             self.meet(now, event.sender, event.zone)
             self.letter(now, event.sender, event.letter)
@@ -142,6 +147,8 @@
     def meet(self, now: int, sender: str, zone: str) -> None:
         fellows = self.fellows
         fellows.zones[sender], fellows.heard_at[sender] = zone, now
+        if self.recalling is not None:
+            self.recalling.meet(sender)
         if len(fellows.heard_at) > MOST_FELLOWS:
             oldest = min(fellows.heard_at, key=fellows.heard_at.__getitem__)
             del fellows.heard_at[oldest], fellows.zones[oldest]
@@ -180,7 +187,7 @@
         elif candidate is not None:
             if candidate.over(now):
                 self.candidate, self.due_at = None, None
-                self.tries += 1
+                self.tries = self.tries + 1 if candidate.unheard else 0
         elif self.recalling is not None:
             self.out += self.recalling.tick(now)
         elif self.me not in self.members:
@@ -281,7 +288,7 @@
             return
         if point(told) == at(self.memory.state):
             self.commit(self.memory.state)
-        if point(told) == at(self._committed):
+        if point(told) == at(self._committed) and now >= self.sure_from:
             self.agreed_at = now
 
     def commit(self, state: CombState) -> None:
--- a/vetchusher/emulator/servers.py
+++ b/vetchusher/emulator/servers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from vetchusher.scouts.reader import Listed
 from vetchusher.scouts.server import Server
 
 from .messages import read_message
@@ -28,9 +29,10 @@
 
 @dataclass(slots=True)
 class StandIn:
-    """Serves on a free port of 127.0.0.1 between `open` and `close`.
+    """Serves between `open` and `close`, on a free port where none is named.
 
     :param time_s: that it works on a request
+    :param held: until it is set, requests at work stay so
     :param body: of its answers
     :param moods: what it does with the next requests, each once: `ok`, `reset` (runs, then resets), `refuse`
         (resets without running), `full`, `silent`, `junk`, `cut`, `unsealed`, `surplus`, `error`, `promise`
@@ -44,6 +46,7 @@
     zone: str = "gulf-a"
     capacity: int = 4
     time_s: float = 0.0
+    held: asyncio.Event | None = None
     body: bytes = b"the server's bytes"
     moods: list[str] = field(default_factory=list)
     usual: Callable[[], str] = lambda: "ok"
@@ -52,16 +55,23 @@
     connections: int = 0
     at_work: int = 0
     most_at_work: int = 0
+    host: str = "127.0.0.1"
     port: int = 0
     listener: asyncio.Server | None = None
 
     @property
     def row(self) -> Server:
-        address = f"127.0.0.1:{self.port}"
+        address = f"{self.host}:{self.port}"
         return Server(self.instance, self.service, address, self.zone, capacity=self.capacity)
 
+    @property
+    def listed(self) -> Listed:
+        """As the platform's list has it."""
+        row = self.row
+        return Listed(row.instance, row.service, row.address, row.zone, "v1", row.capacity, False, 0)
+
     async def open(self) -> StandIn:
-        self.listener = await asyncio.start_server(self.connected, "127.0.0.1", self.port)
+        self.listener = await asyncio.start_server(self.connected, self.host, self.port)
         self.port = int(self.listener.sockets[0].getsockname()[1])
         return self
 
@@ -99,6 +109,8 @@
         self.most_at_work = max(self.most_at_work, self.at_work)
         try:
             await asyncio.sleep(self.time_s)
+            if self.held is not None:
+                await self.held.wait()
         finally:
             self.at_work -= 1
         return await self.end(mood, start.startswith("HEAD "), headers, writer)
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -8,6 +8,8 @@
 
 from returns.result import Success
 
+from vetchusher.entrance.neighbours import neighbours, places_of
+from vetchusher.entrance.presence import KEPT_TIMES, TTL_S
 from vetchusher.events import Event, Note
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.tries import ExtraTries
@@ -16,7 +18,7 @@
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
-from vetchusher.waggle.ledger import Ledger, vector_of
+from vetchusher.waggle.ledger import Ledger, news_for, vector_of
 from vetchusher.waggle.rows import configuration_of, evacuated_of
 
 from .following import Following
@@ -26,6 +28,7 @@
 TICK_S = 0.05
 SYNC_S = 0.15  # between two pushes of what has passed
 PUSH_S = 0.6  # for the totals that answer one
+LAST_S = 1.0  # of the grace: for the requests taken by then
 MOST_PUSHES = 4  # under way at a time
 
 
@@ -53,14 +56,20 @@
         self.known: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
         self.version = 0
         self.leaving = False
+        self.left_at = 0.0
         self.pushes: set[asyncio.Task[None]] = set()
         self.pushed_at = 0.0
 
     # -- keeping up -------------------------------------------------------------------------
 
     def serve(self, frame: wire.Frame, channel: Channel) -> None:
-        if frame.WhichOneof("body") == "beat_heard":
+        kind = frame.WhichOneof("body")
+        if kind == "beat_heard":
             self.carry_sends(self.follower.heard_beat(self.now(), frame.sender, 0, frame.beat_heard))
+        elif kind == "beat":  # a neighbour's, which may be cut off from the core
+            channel.reply(frame, wire.Frame(beat_heard=wire.BeatHeard(vector=vector_of(self.sources))))
+        elif kind == "pull":
+            channel.reply(frame, wire.Frame(news=news_for(self.sources, frame.pull.vector)))
 
     def carry_sends(self, sends: Sequence[Send]) -> None:
         self.following.carry(sends)
@@ -90,6 +99,8 @@
             ingresses = len(self.entrance.rows)
             self.tally.fleet(now, ingresses, self.node.node_name in self.entrance.rows)
             self.extra.fleet(ingresses)
+            places = places_of(self.entrance.values())
+            self.follower.watch(neighbours(self.node.node_name, self.node.region, places))
         if "scouts" in changed:
             self.servers_came(now)
         self.front.fresh(self.follower.fresh(now))
@@ -143,7 +154,7 @@
                 task = self.loop.create_task(self.push(primary, push))
                 self.pushes.add(task)
                 task.add_done_callback(self.pushes.discard)
-        self.paths.keep(set(self.follower.contacts))
+        self.paths.keep({*self.follower.contacts, *self.follower.neighbours})
 
     async def push(self, primary: str, push: wire.Push) -> None:
         answer = await self.paths.ask(primary, wire.Frame(push=push), PUSH_S)
@@ -163,12 +174,17 @@
 
     def leave(self) -> None:
         """Off the directory first; then what is open is told to go elsewhere."""
-        self.leaving = True
+        self.leaving, self.left_at = True, self.loop.time()
         self.carry_sends(self.follower.beat_now(self.now()))
         self.front.leave()
 
     async def close(self, deadline_s: float) -> None:
-        """:param deadline_s: on the loop's clock"""
+        """Serve those who come by the directory's older answers; then end what is open.
+
+        :param deadline_s: on the loop's clock
+        """
+        kept_s = KEPT_TIMES * min(TTL_S, self.node.bounds.ttl_max_s)
+        await asyncio.sleep(min(self.left_at + kept_s, deadline_s - LAST_S) - self.loop.time())
         await self.front.close(int(deadline_s * 1e6))
         await self.readiness.close()
         await self.following.close()
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -4,22 +4,22 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from returns.result import Failure, Result, Success
 
 from vetchusher import comb
 from vetchusher.comb import Member
-from vetchusher.entrance.presence import Presence
+from vetchusher.entrance.presence import TTL_S, Presence
 from vetchusher.events import Event, Note
 from vetchusher.kinds import Fault, Kind
 from vetchusher.limits.totals import Holder
 from vetchusher.scouts.reader import Reader
-from vetchusher.settings.configuration import Configuration, read_configuration
+from vetchusher.settings.configuration import Configuration
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
-from vetchusher.waggle.ledger import NEVER, Ledger, vector_of
+from vetchusher.waggle.ledger import NEVER, Ledger, news_for, vector_of
 from vetchusher.waggle.rows import rows_of
 from vetchusher.waggle.shelf import Shelf, whole
 
@@ -27,12 +27,12 @@
 from .following import Following
 from .paths import Channel, Paths
 from .platform import Platform
+from .reading import Reading
 from .saving import Saving
 
 TICK_S = 0.05
 READ_PAUSE_S = 0.6  # between two whole reads of the list
 PASS_ON_S = 2.5  # for the primary's answer to an order passed on
-TTL_S = 2
 MOST_WATCHERS = 2048
 SHELF_PAUSE_S = 0.25  # between two writes of what has been told
 
@@ -56,6 +56,7 @@
             node.ip_address, node.zone, seeds, node.first_start, kept, comb.Timing(), rng, now()
         )
         self.saving = Saving(loop, store, self.saved, note)
+        self.reading = Reading(loop)
         self.presence = Presence()
         self.comb, self.scouts, self.entrance = Ledger("comb"), Ledger("scouts"), Ledger("entrance")
         self.sources = {led.source: led for led in (self.comb, self.scouts, self.entrance)}
@@ -107,7 +108,7 @@
     def committed(self, state: wire.CombState) -> None:
         """Tell what has become part of the state: rows of the configuration, and zones evacuated."""
         if state.version and state.configuration != self.configuration_raw:
-            match read_configuration(state.configuration):
+            match self.reading.known(state.configuration):
                 case Success(configuration):
                     self.configuration, self.configuration_raw = configuration, state.configuration
                 case Failure(fault):  # it was checked before it was stored: this program is older
@@ -135,10 +136,10 @@
                 self.watchers[frame.beat.ip] = channel
             heard = self.heard()
             if frame.beat.wants_news:
-                heard.news.CopyFrom(self.news(frame.beat.vector))
+                heard.news.CopyFrom(news_for(self.sources, frame.beat.vector))
             channel.reply(frame, wire.Frame(beat_heard=heard))
         elif kind == "pull":
-            channel.reply(frame, wire.Frame(news=self.news(frame.pull.vector)))
+            channel.reply(frame, wire.Frame(news=news_for(self.sources, frame.pull.vector)))
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
@@ -157,16 +158,6 @@
             in_force=self.member.in_force(now),
         )
 
-    def news(self, vector: Iterable[wire.SourceAt]) -> wire.News:
-        told = wire.News()
-        for at in vector:
-            ledger = self.sources.get(at.source)
-            if ledger is not None:
-                news = ledger.since((at.stamp.epoch, at.stamp.seq))
-                if news is not None:
-                    told.sources.append(news)
-        return told
-
     def tell_watchers(self) -> None:
         """A grown vector, unasked: whoever lacks it pulls at once."""
         heard = self.heard()
@@ -187,7 +178,7 @@
                     return Failure(Fault(Kind.NOT_SETTLED, "no ingress is known here"))
                 return Success(orders.Resolved(tuple(fronts), min(TTL_S, self.node.bounds.ttl_max_s)))
             case orders.ReplaceConfiguration(body):
-                checked = read_configuration(body)
+                checked = await self.reading.read(body)
                 if isinstance(checked, Failure):
                     return Failure(checked.failure())
                 order = comb.Replace(checked.unwrap().version, body)
@@ -237,7 +228,7 @@
             asked = frame.order
             kind = asked.WhichOneof("order")
             if kind == "replace":
-                checked = read_configuration(asked.replace.body)
+                checked = await self.reading.read(asked.replace.body)
                 if isinstance(checked, Failure):
                     outcome = Failure(checked.failure())
                 else:
@@ -385,3 +376,4 @@
             self.duty.cancel()
         await self.platform.close()
         self.saving.close()
+        self.reading.close()
