Name the promise's module apart from its function, which late loading had hidden

Cause: names of limits/ are loaded for whoever asks, so a loaded submodule of the same name hid the function. Seen by two tests; ruled out: the benchmarks, which import it after other names.

--- a/vetchusher/limits/__init__.py
+++ b/vetchusher/limits/__init__.py
@@ -11,7 +11,7 @@
     from .calls import SYNC_SLICES, SYNC_US, CallLine, near
     from .guard import Limits
     from .health import CounterHealth, State
-    from .promise import Promise, promise
+    from .promised import Promise, promise
     from .tuning import Tuning
 
 # Loaded for whoever asks for them: the system starts without the daemon's half.
@@ -23,8 +23,8 @@
     "Limits": "guard",
     "CounterHealth": "health",
     "State": "health",
-    "Promise": "promise",
-    "promise": "promise",
+    "Promise": "promised",
+    "promise": "promised",
     "Tuning": "tuning",
 }
 
--- a/vetchusher/limits/guard.py
+++ b/vetchusher/limits/guard.py
@@ -15,7 +15,7 @@
 from . import codec
 from .health import CounterHealth, State
 from .marks import Mark, Marks
-from .promise import promise
+from .promised import promise
 from .spends import Spends
 from .tuning import Tuning
 
