--- /dev/null
+++ b/vetchusher/emulator/comb_cases.py
@@ -0,0 +1,169 @@
+"""Where the explorer of the control state begins: states that a calm run, or one trouble, has led to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from vetchusher.comb import SetEvacuation, Timing
+
+from .comb_cells import Cell, Cells
+from .comb_explorer import BEGIN, TIMING, Budget, Operator, State, replacing
+from .comb_judge import Judge
+from .explorer import TIME
+
+ZONES = ("east", "east", "west")
+OPERATORS = (Operator(replacing(2)), Operator(replacing(3)))
+PATIENCE = 60  # steps of the clock, after which what is waited for does not come
+
+
+def fresh(zones: tuple[str, ...] = ZONES, timing: Timing = TIMING) -> State:
+    """Nothing runs; all disks are empty."""
+    cells = tuple(Cell(place, zone) for place, zone in enumerate(zones, 1))
+    hall = Cells(tuple(c.ip for c in cells), timing)
+    cells = tuple(hall.keep(c) for c in cells)
+    return State(hall, BEGIN, cells, (), frozenset(), Budget(), (), Judge())
+
+
+def step(state: State, how: str) -> State:
+    """The step of that name; there is one."""
+    state.budget = LAVISH
+    taken = next((taken for name, taken in state.following() if name == how), None)
+    assert taken is not None, f"no step {how!r}"
+    after = taken()
+    assert after.wrong() is None, after.wrong()
+    return after
+
+
+def calm(state: State) -> State:
+    """All that happens by itself, but time."""
+    while True:
+        after = next(state.ready(), None)
+        if after is None:
+            return state
+        state = after[1](state.copy())
+        state.wrong()
+
+
+def until(state: State, reached: Callable[[State], bool]) -> State:
+    for _ in range(PATIENCE):
+        state = calm(state)
+        if reached(state):
+            return state
+        state = step(state, TIME)
+    raise AssertionError("a start was not reached")
+
+
+def holds(ip: str) -> Callable[[State], bool]:
+    return lambda state: state.hall.look(state.cell(ip), state.at).holds
+
+
+LAVISH = Budget(
+    steps=1_000, crashes=9, wipes=9, blackouts=9, cuts=9, losses=9, refusals=9, stops=9, slips=9
+)
+
+
+def first_start() -> State:
+    """All three start for the first time."""
+    state = fresh()
+    for cell in state.cells:
+        state.put(state.hall.start(cell, state.at, first=True))
+    return state
+
+
+def settled() -> State:
+    """The first machine leads, r1 is acknowledged and on all disks, no letter is on its way."""
+    state = until(first_start(), holds("1"))
+    state.operators = (Operator(replacing(1)),)
+    state = until(step(state, "order 1 to 1"), lambda s: s.operators[0].done)
+    state = calm(step(calm(state), TIME))
+    assert all(c.disk is not None and c.disk.state.version == 1 for c in state.cells)
+    state.operators = OPERATORS
+    return state
+
+
+def writing() -> State:
+    """The same, with both changes on their way to the backups."""
+    state = step(settled(), "order 1 to 1")
+    return step(state, "order 2 to 1")
+
+
+def primary_lost() -> State:
+    """The first machine is down and its lease over; both others may ask."""
+    state = step(settled(), "1 crashes")
+    for _ in range(4):
+        state = step(calm(state), TIME)
+    return state
+
+
+def unfinished() -> State:
+    """r2 is on the primary's disk alone, the power goes everywhere, and all have started again."""
+    state = step(settled(), "order 1 to 1")
+    state = step(step(state, "1 has saved"), "power lost")
+    state.letters = ()
+    for ip in "123":
+        state = step(state, f"{ip} starts")
+    return state
+
+
+def emptied() -> State:
+    """The first machine has lost its disk right after an acknowledgement, and has started again."""
+    state = step(settled(), "order 1 to 1")
+    state = until(state, lambda s: s.operators[0].done)
+    return step(step(state, "1 loses its disk"), "1 starts")
+
+
+def cut_off() -> State:
+    """The primary hears nobody any more, but is heard."""
+    state = settled()
+    for ip in "23":
+        state = step(state, f"{ip} to 1 cut")
+    return state
+
+
+def restarted() -> State:
+    """A voter crashes inside the lease that it gave, and starts again."""
+    return step(step(step(settled(), "3 crashes"), "3 starts"), "order 1 to 1")
+
+
+def evacuating() -> State:
+    """Both operators order evacuations."""
+    state = settled()
+    state.operators = (
+        Operator(SetEvacuation("north", True)),
+        Operator(SetEvacuation("south", True)),
+    )
+    return step(step(state, "order 1 to 1"), "order 2 to 1")
+
+
+@dataclass(slots=True, frozen=True)
+class Case:
+    """:param troubles: the budget beside `steps` and `delays`"""
+
+    begin: Callable[[], State]
+    troubles: Budget
+
+    def start(self, steps: int = 8, delays: int | None = None, times: int = 1) -> State:
+        """:param times: by how much of each trouble there may be more"""
+        state = self.begin()
+        often = ("crashes", "blackouts", "cuts", "losses", "refusals", "stops")  # no more disks are lost
+        more = {name: getattr(self.troubles, name) * times for name in often}
+        state.budget = replace(self.troubles, steps=steps, delays=delays, **more)
+        return state
+
+
+CASES = {
+    "first start": Case(first_start, Budget(crashes=1)),
+    "settled": Case(settled, Budget(crashes=1, wipes=1, cuts=1)),
+    "writing": Case(writing, Budget(crashes=1, wipes=1, losses=1)),
+    "writing, power lost": Case(writing, Budget(blackouts=1, losses=2)),
+    "writing, disks refuse": Case(writing, Budget(blackouts=1, refusals=2)),
+    "primary lost": Case(primary_lost, Budget(crashes=1, losses=1)),
+    "primary hears nobody": Case(cut_off, Budget(stops=1)),
+    "clocks apart": Case(cut_off, Budget(slips=1)),
+    "primary stops": Case(writing, Budget(stops=1, cuts=1)),
+    "a copy that nobody else holds": Case(unfinished, Budget(crashes=1, losses=1)),
+    "a disk emptied": Case(emptied, Budget(crashes=1, losses=1)),
+    "a voter restarted": Case(restarted, Budget(cuts=1, crashes=1)),
+    "evacuations": Case(evacuating, Budget(crashes=1, losses=1)),
+}
--- /dev/null
+++ b/vetchusher/emulator/comb_explorer.py
@@ -0,0 +1,379 @@
+"""All interleavings of a small case of the control state: three machines, two changes, a few troubles.
+
+The members are the real ones, on a clock that advances in steps of half a second, by which all times are
+counted.  Letters come in any order, a step or two late, or never; saves end at any time, or are cut off by a
+crash and are then on the disk or not; machines crash, lose their disks, stop, hear others one way only.  Each
+trouble has a budget.  At each moment every machine is asked what it would read out and what it takes to be in
+force, and the judge hears it.
+
+Bounded by `delays`, a case is followed to its end: by itself everything happens in order (saves, then letters
+as they were sent, then time), and each step out of that order is one delay.  Without that bound all orders are
+followed, to a depth.  Sound for both: what cannot differ is one state (equal machines, letters twice sent);
+ticks of different machines commute, so time and the ticks are one step.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from functools import partial
+from itertools import chain
+
+from returns.result import Success
+
+from vetchusher.comb import (
+    Committed,
+    Done,
+    Heard,
+    Order,
+    Output,
+    Replace,
+    Saved,
+    SetEvacuation,
+    Submitted,
+    Tell,
+    Timing,
+)
+from vetchusher.events import Event, Note
+from vetchusher.waggle.wire_pb2 import CombLetter
+
+from .comb_cells import UNIT, Cell, Cells, clone, digest
+from .comb_judge import Judge
+from .explorer import TIME
+
+LATE = 2 * UNIT  # a letter older than that is lost, as every question is by then
+BEGIN = 100 * UNIT
+TIMING = Timing(
+    renew_us=UNIT,
+    lease_us=3 * UNIT,
+    held_us=2 * UNIT,
+    other_zone_us=2 * UNIT,
+    heard_us=2 * UNIT,
+    stopped_us=2 * UNIT,
+    regain_us=UNIT,
+    courtesy_us=UNIT,
+    pause_us=3 * UNIT,
+    probe_us=UNIT,
+    ask_us=2 * UNIT,
+    order_us=6 * UNIT,
+    resend_us=UNIT,
+    resend_most_us=4 * UNIT,
+    retry_us=UNIT,
+    recall_us=UNIT,
+    anew_us=8 * UNIT,
+    join_us=UNIT,
+    learner_us=6 * UNIT,
+)
+
+Sent = tuple[str, str, bytes, int]  # from, to, what, when
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """How much of each may still happen.
+
+    :param delays: steps out of order; None: any number
+    :param blackouts: all machines lose power at once
+    :param cuts: one-way, of one machine from one other
+    :param stops: a process stands still, then goes on
+    :param slips: of a clock, by one step, which is what `lease_us` has over `held_us`
+    """
+
+    steps: int = 8
+    delays: int | None = None
+    crashes: int = 0
+    wipes: int = 0
+    blackouts: int = 0
+    cuts: int = 0
+    losses: int = 0
+    refusals: int = 0
+    stops: int = 0
+    slips: int = 0
+
+    def shot(self) -> tuple[int | None, ...]:
+        return (
+            self.steps, self.delays, self.crashes, self.wipes, self.blackouts, self.cuts, self.losses,
+            self.refusals, self.stops, self.slips,
+        )  # fmt: skip
+
+
+@dataclass(slots=True, frozen=True)
+class Operator:
+    """One change and how far it is.
+
+    :param tries: how often it may still be sent
+    :param number: of the attempt whose answer is waited for; 0: none
+    """
+
+    order: Order
+    tries: int = 2
+    number: int = 0
+    to: str = ""
+    done: bool = False
+
+
+def replacing(version: int) -> Replace:
+    return Replace(version, b"r%d" % version)
+
+
+@dataclass(slots=True)
+class State:
+    """One moment."""
+
+    hall: Cells
+    at: int
+    cells: tuple[Cell, ...]
+    letters: tuple[Sent, ...]
+    cuts: frozenset[tuple[str, str]]
+    budget: Budget
+    operators: tuple[Operator, ...]
+    judge: Judge
+    judged: bytes = b""
+    own_judge: bool = False
+    seen: str | None = None
+    checked: bool = field(default=False)
+
+    # -- as a moment ---------------------------------------------------------------------------
+
+    def shot(self) -> bytes:
+        letters = self.letters if self.budget.delays is not None else tuple(sorted(self.letters))
+        operators = tuple((o.tries, o.number, o.to, o.done) for o in self.operators)
+        keys = tuple(c.key for c in self.cells)
+        return digest(self.at, keys, letters, self.cuts, self.budget.shot(), operators, self.judged)
+
+    def wrong(self) -> str | None:
+        if not self.checked:
+            self.checked = True
+            self.look()
+            if self.own_judge or not self.judged:
+                judge = self.judge
+                self.judged = digest(
+                    judge.sent, judge.acknowledged, judge.at_ack, judge.old, judge.read, judge.expected,
+                    judge.primaries, judge.committed,
+                )  # fmt: skip
+                self.own_judge = False
+            self.seen = self.judge.wrong[0] if self.judge.wrong else None
+        return self.seen
+
+    def look(self) -> None:
+        looks = [self.hall.look(cell, self.at) for cell in self.cells]
+        self.judge.held([c.ip for c, x in zip(self.cells, looks, strict=True) if x.holds])
+        for cell, seen in zip(self.cells, looks, strict=True):
+            if seen.in_force is not None:
+                self.judge.in_force(cell.ip, seen.in_force)
+            if seen.body is not None:
+                judge = self.judge
+                if next((v for v, b in judge.sent.items() if b == seen.body), 0) != judge.read:
+                    judge = self.judging()
+                judge.reads(seen.body, judge.floor())
+
+    # -- what a step does ----------------------------------------------------------------------
+
+    def copy(self, budget: Budget | None = None) -> State:
+        return State(
+            self.hall, self.at, self.cells, self.letters, self.cuts, budget or self.budget, self.operators,
+            self.judge, self.judged,
+        )  # fmt: skip
+
+    def judging(self) -> Judge:
+        """The judge, of this state's own."""
+        if not self.own_judge:
+            self.judge, self.own_judge = clone(self.judge), True
+        return self.judge
+
+    def put(self, cell: Cell) -> None:
+        self.cells = (*self.cells[: cell.place - 1], cell, *self.cells[cell.place :])
+
+    def cell(self, ip: str) -> Cell:
+        return self.cells[int(ip) - 1]
+
+    def carry(self, given: tuple[Cell, tuple[Output, ...]]) -> State:
+        cell, outs = given
+        self.put(cell)
+        for out in outs:
+            if isinstance(out, Tell):
+                self.post((cell.ip, out.to, out.letter.SerializeToString(deterministic=True), self.at))
+            elif isinstance(out, Committed):
+                self.judging().commits(cell.ip, out.state)
+            elif isinstance(out, Done):
+                self.answered(out)
+            elif isinstance(out, Note) and out.event is Event.PRIMARY:
+                epoch = out.facts["epoch"]
+                assert isinstance(epoch, int)
+                self.judging().led(epoch, f"{cell.ip}/{cell.life}")
+        return self
+
+    def post(self, letter: Sent) -> None:
+        if letter[:2] not in self.cuts and letter not in self.letters:
+            self.letters += (letter,)
+
+    def answered(self, out: Done) -> None:
+        for place, operator in enumerate(self.operators):
+            if operator.number != out.number:
+                continue
+            ok, order = isinstance(out.outcome, Success), operator.order
+            self.operate(place, replace(operator, number=0, to="", done=ok))
+            if ok and isinstance(order, Replace):
+                self.judging().acked(order.version)
+            elif ok and isinstance(order, SetEvacuation):
+                self.judging().expected[order.zone] = order.on
+
+    def operate(self, place: int, operator: Operator) -> None:
+        self.operators = (*self.operators[:place], operator, *self.operators[place + 1 :])
+
+    def lost(self, ip: str) -> None:
+        """What was asked of that machine is never answered."""
+        for place, operator in enumerate(self.operators):
+            if operator.to == ip:
+                self.operate(place, replace(operator, number=0, to=""))
+
+    # -- the steps -----------------------------------------------------------------------------
+
+    def following(self) -> Iterator[tuple[str, Callable[[], State]]]:
+        budget, ready = self.budget, list(self.ready())
+        late = budget if budget.delays is None else None
+        if budget.delays:
+            late = replace(budget, delays=budget.delays - 1)
+        for place, (how, step) in enumerate(ready):
+            allowed = late if place else budget
+            if allowed is not None:
+                yield how, partial(self.taken, step, allowed)
+        allowed = late if ready else budget
+        if budget.steps and allowed is not None:
+            allowed = replace(allowed, steps=budget.steps - 1)
+            yield TIME, partial(self.taken, State.passes, allowed)
+            for cell in self.cells if budget.slips else ():
+                slower = replace(allowed, slips=budget.slips - 1)
+                yield f"{TIME}, but not at {cell.ip}", partial(self.taken, partial(State.slips, cell=cell), slower)
+        yield from self.orders()
+        for name, how, step in chain(self.troubles(), self.links()):
+            if not name:
+                yield how, partial(self.taken, step, budget)
+            elif left := getattr(budget, name):
+                yield how, partial(self.taken, step, replace(budget, **{name: left - 1}))
+
+    def taken(self, step: Step, budget: Budget) -> State:
+        return step(self.copy(budget))
+
+    def ready(self) -> Iterator[tuple[str, Step]]:
+        """What happens by itself, in order: saves end, then letters come."""
+        for cell in self.cells:
+            if cell.saving is not None and not cell.stopped:
+                yield f"{cell.ip} has saved", partial(State.saved, cell=cell, ok=True)
+        for letter in self.letters:
+            to = self.cell(letter[1])
+            if to.member is not None and not to.stopped:
+                yield named(letter), partial(State.delivered, letter=letter)
+
+    def saved(self, cell: Cell, ok: bool) -> State:
+        assert cell.saving is not None
+        token = cell.saving.token
+        ended = self.hall.synced(cell, ok)
+        return self.carry(self.hall.give(ended, self.at, Saved(token, ok), ("saved", token, ok)))
+
+    def delivered(self, letter: Sent) -> State:
+        sender, to, data, _ = letter
+        self.letters = tuple(x for x in self.letters if x != letter)
+        heard = Heard(sender, self.cell(sender).zone, CombLetter.FromString(data))
+        return self.carry(self.hall.give(self.cell(to), self.at, heard, (sender, data)))
+
+    def passes(self) -> State:
+        self.at += UNIT
+        self.letters = tuple(x for x in self.letters if self.at - x[3] < LATE or self.cell(x[1]).stopped)
+        judge = self.judging()
+        judge.at = self.at
+        judge.in_force("nobody", judge.acknowledged)  # what is old by now
+        for cell in self.cells:
+            if cell.member is not None and not cell.stopped:
+                self.carry(self.hall.tick(cell, self.at))
+        return self
+
+    def slips(self, cell: Cell) -> State:
+        self.put(self.hall.keep(replace(cell, slow=cell.slow + UNIT)))
+        return self.passes()
+
+    def orders(self) -> Iterator[tuple[str, Callable[[], State]]]:
+        for place, operator in enumerate(self.operators):
+            if operator.done or not operator.tries:
+                continue
+            for cell in self.cells:
+                if cell.ip != operator.to and not cell.stopped and self.hall.look(cell, self.at).leads:
+                    step = partial(State.ordered, place=place, cell=cell)
+                    yield f"order {place + 1} to {cell.ip}", partial(self.taken, step, self.budget)
+
+    def ordered(self, place: int, cell: Cell) -> State:
+        operator = self.operators[place]
+        order, number = operator.order, 10 * (place + 1) + operator.tries
+        self.operate(place, replace(operator, tries=operator.tries - 1, number=number, to=cell.ip))
+        if isinstance(order, Replace):
+            self.judging().sent.setdefault(order.version, order.body)
+        elif isinstance(order, SetEvacuation):
+            self.judging().expected.pop(order.zone, None)
+        return self.carry(self.hall.give(cell, self.at, Submitted(number, order), (number, order)))
+
+    def troubles(self) -> Iterator[tuple[str, str, Step]]:
+        """What may befall machines: by which budget, what it is called, what it does."""
+        for cell in self.cells:
+            if cell.member is None:
+                yield "", f"{cell.ip} starts", partial(State.starts, cell=cell)
+            else:
+                stop = ("", f"{cell.ip} goes on") if cell.stopped else ("stops", f"{cell.ip} stops")
+                yield *stop, partial(State.stands, cell=cell)
+                yield "crashes", f"{cell.ip} crashes", partial(State.falls, cell=cell)
+            if cell.saving is not None:
+                fall = partial(State.falls, cell=cell, landed=True)
+                yield "crashes", f"{cell.ip} crashes, its save landed", fall
+                if not cell.stopped:
+                    yield "refusals", f"{cell.ip} cannot save", partial(State.saved, cell=cell, ok=False)
+            if cell.member is not None or cell.disk is not None:
+                yield "wipes", f"{cell.ip} loses its disk", partial(State.falls, cell=cell, wiped=True)
+        yield "blackouts", "power lost", State.blackout
+        if any(c.saving for c in self.cells):
+            yield "blackouts", "power lost, the saves landed", partial(State.blackout, landed=True)
+
+    def links(self) -> Iterator[tuple[str, str, Step]]:
+        for letter in self.letters:
+            yield "losses", f"lost: {named(letter)}", partial(State.without, letter=letter)
+        for pair in self.cuts:
+            yield "", f"{pair[0]} to {pair[1]} joined", partial(State.cut, cuts=self.cuts - {pair})
+        ways = {(a.ip, b.ip) for a in self.cells for b in self.cells if a is not b}
+        for pair in sorted(ways - self.cuts):
+            yield "cuts", f"{pair[0]} to {pair[1]} cut", partial(State.cut, cuts=self.cuts | {pair})
+
+    def starts(self, cell: Cell) -> State:
+        self.put(self.hall.start(cell, self.at))
+        return self
+
+    def falls(self, cell: Cell, landed: bool = False, wiped: bool = False) -> State:
+        self.put(self.hall.down(cell, landed, wiped))
+        self.lost(cell.ip)
+        return self
+
+    def blackout(self, landed: bool = False) -> State:
+        for cell in self.cells:
+            self.falls(cell, landed)
+        return self
+
+    def stands(self, cell: Cell) -> State:
+        """Stops, or goes on and finds what came meanwhile."""
+        self.put(self.hall.keep(replace(cell, stopped=not cell.stopped)))
+        if cell.stopped:
+            self.letters = tuple((*x[:3], self.at) if x[1] == cell.ip else x for x in self.letters)
+        return self
+
+    def without(self, letter: Sent) -> State:
+        self.letters = tuple(x for x in self.letters if x != letter)
+        return self
+
+    def cut(self, cuts: frozenset[tuple[str, str]]) -> State:
+        self.cuts = cuts
+        self.letters = tuple(x for x in self.letters if x[:2] not in cuts)
+        return self
+
+
+Step = Callable[[State], State]  # changes the state, which is its own, and returns it
+
+
+def named(letter: Sent) -> str:
+    sender, to, data, _ = letter
+    return f"{sender} to {to}: {CombLetter.FromString(data).WhichOneof('kind')}"
--- a/vetchusher/emulator/comb_judge.py
+++ b/vetchusher/emulator/comb_judge.py
@@ -84,10 +84,12 @@
         """What a reading that begins now has to show at least."""
         return max(self.acknowledged, self.read)
 
-    def reads(self, body: bytes, floor: int) -> None:
+    def reads(self, body: bytes, floor: int) -> int:
+        """The version that was read."""
         version = next((v for v, b in self.sent.items() if b == body), 0)
         if not version:
             self.say("a reading showed what nobody sent")
         if version < floor:
             self.say(f"a reading showed r{version} after r{floor}")
         self.read = max(self.read, version)
+        return version
--- a/vetchusher/emulator/comb_world.py
+++ b/vetchusher/emulator/comb_world.py
@@ -37,6 +37,7 @@
 from vetchusher.kinds import Fault, Kind
 from vetchusher.waggle.wire_pb2 import CombLetter
 
+from .comb_history import Call
 from .comb_judge import Judge
 from .tier_world import MS, SECOND
 
@@ -101,11 +102,13 @@
         self.rng = random.Random(scene.seed)
         self.at = 0
         self.serial = 0
+        self.played = 0  # events
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
         self.judge = Judge()
         self.cuts: set[tuple[str, str]] = set()  # from, to
         self.no_writes: set[str] = set()  # letters with a state are lost on their way there
         self.attempts: dict[int, tuple[str, Answer]] = {}
+        self.calls: list[Call] = []  # of operators, for configurations
         self.events: Counter[str] = Counter()
         self.log: list[tuple[int, str, Note]] = []
         self.loss, self.late = scene.loss, scene.late
@@ -127,6 +130,7 @@
         while self.heap and self.heap[0][0] <= until and len(self.judge.wrong) < 5:
             self.at, _, what = heapq.heappop(self.heap)
             self.judge.at = self.at
+            self.played += 1
             what()
         self.at = self.judge.at = max(self.at, until)
 
@@ -311,8 +315,12 @@
             answer(out.outcome)
 
     def replace(self, ip: str, version: int, then: Callable[[bool], None]) -> None:
+        call = Call(False, version, self.at)
+        self.calls.append(call)
+
         def answer(outcome: Result[bytes, Fault]) -> None:
             if isinstance(outcome, Success):
+                call.answered = self.at
                 self.judge.acked(version)
             then(isinstance(outcome, Success))
 
@@ -330,12 +338,13 @@
 
     def retrieve(self, ip: str, then: Callable[[int | None], None]) -> None:
         """`then` is told the version that was read, None without an answer."""
-        floor = self.judge.floor()
+        floor, made = self.judge.floor(), self.at
 
         def answer(outcome: Result[bytes, Fault]) -> None:
             if isinstance(outcome, Success):
-                self.judge.reads(outcome.unwrap(), floor)
-                then(self.judge.read)
+                version = self.judge.reads(outcome.unwrap(), floor)
+                self.calls.append(Call(True, version, made, self.at))
+                then(version)
             else:
                 then(None)
 
--- a/vetchusher/emulator/duties_explorer.py
+++ b/vetchusher/emulator/duties_explorer.py
@@ -2,15 +2,15 @@
 restart of a voter without memory, a stopped holder, a release.
 
 The state machines are the real ones, on one clock that advances in steps.  A message may be delivered at any
-later step, or never; so loss, lateness and reordering need no steps of their own.  States that were met are
-not explored again.  Breadth first: what is found is found by the shortest way there.
+later step, or never; so loss, lateness and reordering need no steps of their own.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from vetchusher.duties.candidate import Candidate, Reason, Stage, Term
@@ -18,6 +18,9 @@
 from vetchusher.duties.messages import Message, Topic
 from vetchusher.duties.voter import Voter
 
+from . import explorer
+from .explorer import TIME, Explored
+
 VOTERS, CANDIDATES = (0, 1, 2), (3, 4)
 TIMING = Timing(lease=24, drift=0.0, margin=0)
 STEP = 13  # of the clock: a lease has run out after two
@@ -112,6 +115,12 @@
             candidate.changes.clear()
         return None
 
+    def following(self) -> Iterator[tuple[str, Callable[[], State]]]:
+        return ((how, partial(State.itself, after)) for how, after in following(self))
+
+    def itself(self) -> State:
+        return self
+
     def post(self, sender: int, out: list[tuple[int, Message]]) -> None:
         self.sent |= {(sender, to, message) for to, message in out}
 
@@ -200,7 +209,7 @@
         after = state.copy()
         after.at += STEP
         after.budget = Budget(budget.steps - 1, budget.restarts, budget.releases)
-        yield "time goes on", after
+        yield TIME, after
 
 
 def recalled(state: State, number: int) -> bool:
@@ -214,62 +223,14 @@
     return voter.remembers
 
 
-@dataclass(slots=True, frozen=True)
-class Explored:
-    states: int
-    depth: int  # to which all states were seen
-    wrong: str = ""
-    way: tuple[str, ...] = ()
-
-
 def explore(most_states: int, most_depth: int = 1_000, begin: str = "free") -> Explored:
-    """All states by rounds, until one is wrong or the bound is met; nothing beyond it is claimed."""
-    start = STARTS[begin]()
-    met: dict[Shot, tuple[Shot | None, str]] = {start.shot(): (None, "")}
-    edge, depth = [start], 0
-    while edge and depth < most_depth:
-        further = []
-        for state in edge:
-            shot = state.shot()
-            for how, after in following(state):
-                wrong = after.wrong()
-                key = after.shot()
-                if key in met:
-                    continue
-                met[key] = (shot, how)
-                if wrong is not None:
-                    return Explored(len(met), depth, wrong, way(met, key))
-                if len(met) >= most_states:
-                    return Explored(len(met), depth)
-                further.append(after)
-        edge, depth = further, depth + 1
-    return Explored(len(met), depth)
-
-
-def way(met: dict[Shot, tuple[Shot | None, str]], key: Shot | None) -> tuple[str, ...]:
-    steps = []
-    while key is not None:
-        key, how = met[key]
-        steps.append(how)
-    return tuple(reversed(steps))[1:]
+    return explorer.explore(STARTS[begin](), most_states, most_depth)
 
 
 def wander(walks: int, length: int, seed: int, begin: str = "free") -> Explored:
-    """Random walks through the same states, longer than all interleavings can be followed."""
-    rng, seen = random.Random(seed), 0
-    for _ in range(walks):
-        state, steps = STARTS[begin](), []
+    def start() -> State:
+        state = STARTS[begin]()
         state.budget = Budget(steps=12, restarts=3, releases=2)
-        for _ in range(length):
-            choices = list(following(state))
-            if not choices:
-                break
-            times = [(h, s) for h, s in choices if h == "time goes on"]
-            if times and rng.random() < 0.9:
-                choices = [c for c in choices if c[0] != "time goes on"] or times
-            how, state = rng.choice(choices)
-            steps.append(how)
-            seen += 1
-            if (wrong := state.wrong()) is not None:
-                return Explored(seen, len(steps), wrong, tuple(steps))
-    return Explored(seen, length)
+        return state
+
+    return explorer.wander(start, walks, length, seed)
