Keep a way that is in use, whoever names its end

Cause: a machine that had lost its disk names only its seeds; the ways by which it asked the other members were dropped at the end of the tick that began them (Paths.keep). Of five machines one stayed forgetful for 27 s while all others were up. Ruled out: the others, its disk, the rule of recall.

Found by real core processes under kills, wipes and stops with operators who race; every call is checked as one history, a register in which the highest version wins.

--- a/vetchusher/emulator/apiary.py
+++ b/vetchusher/emulator/apiary.py
@@ -47,6 +47,7 @@
 REGIONS = {"gulf-a": "gulf", "delta-a": "delta"}  # of each zone
 CORE = ("gulf-a", "gulf-a", "delta-a")  # where the core machines stand
 EDGE = ("gulf-a", "delta-a")
+SEEDS = 3  # core machines that every settings file names
 SERVICES = ("honey", "wax")
 HOST = "hive.example"
 KEY = "queen-key"
@@ -135,9 +136,17 @@
 
     :param folder: of settings, disks and logs
     :param bounds: other figures of the promises
+    :param core: zone of each core machine; the first three are everybody's seeds
+    :param edge: zone of each ingress
     """
 
-    def __init__(self, folder: pathlib.Path, bounds: Bounds | None = None) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        bounds: Bounds | None = None,
+        core: Sequence[str] = CORE,
+        edge: Sequence[str] = EDGE,
+    ) -> None:
         self.folder, self.bounds = folder, bounds or Bounds()
         self.rng = random.Random(os.urandom(8))
         self.net, self.held = claim_net(self.rng)
@@ -146,8 +155,8 @@
             StandIn(f"i-{service}-{zone}", service, zone, host=f"{self.net}{number}", port=SERVER)
             for number, (service, zone) in enumerate(((s, z) for s in SERVICES for z in REGIONS), 100)
         ]
-        self.core = [self.machine(f"core-{n}", 10 + n, zone, True) for n, zone in enumerate(CORE, 1)]
-        self.edge = [self.machine(f"edge-{n}", 20 + n, zone, False) for n, zone in enumerate(EDGE, 1)]
+        self.core = [self.machine(f"core-{n}", 10 + n, zone, True) for n, zone in enumerate(core, 1)]
+        self.edge = [self.machine(f"edge-{n}", 20 + n, zone, False) for n, zone in enumerate(edge, 1)]
         self.machines = {m.name: m for m in (*self.core, *self.edge)}
         self.first_start = True
         self.ids = 0
@@ -233,7 +242,7 @@
             "machine_class": "core" if machine.core else "edge",
             "serves": ["control", "directory"] if machine.core else ["edge"],
             "internal_ports": [INTERNAL, INTERNAL + 15],
-            "seed_nodes": [m.at(CONTROL) for m in self.core],
+            "seed_nodes": [m.at(CONTROL) for m in self.core[:SEEDS]],
             "first_start": self.first_start,
             "counted": machine.core,
             "data_directory": str(machine.disk) if machine.core else "",
--- /dev/null
+++ b/vetchusher/emulator/core_rig.py
@@ -0,0 +1,472 @@
+"""Real core processes on loopback under faults, with operators who race, and all of their calls on record.
+
+Operators go from door to door, move on after silence, and send what comes into their heads: new versions, old
+ones again, invalid ones, evacuations and their ends, reads.  What a fault cost is the time to the first new
+change that was sent after it and acknowledged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import math
+import pathlib
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from vetchusher.hive.cli import kept_in
+
+from .apiary import CONTROL, REGIONS, Apiary, Machine, first_configuration
+from .call_history import History, Ordered, Read, Seen, Wrote
+
+ZONES = tuple(REGIONS)
+PATIENCE_S = 1.0  # an operator's, without an answer; then it goes elsewhere
+HASTE_S = 0.3  # of whoever measures for how long nobody acknowledges, and his pause
+HASTE_PACE_S = 0.03
+PACE_S = 0.15  # between two calls of an operator
+DEAD_S = 15.0  # after which an order without a clear answer is in nobody's memory: longer than any door or
+# process waits, and than a process is stopped
+CATCH_UP_S = 4.0  # a machine counts as lost for so long after its return
+DOWN_S = (0.2, 2.0)  # until what was killed is started again
+STOP_S = (0.3, 4.0)
+REGAIN_S = 60.0  # danger: where nothing is acknowledged for so long, the run ends and says so
+
+
+def body(version: int) -> bytes:
+    """The one configuration that a version stands for."""
+    tree = first_configuration(version)
+    tree["routes"][0]["name"] = f"only-r{version}"
+    return json.dumps(tree).encode()
+
+
+def invalid(version: int) -> bytes:
+    tree = first_configuration(version)
+    tree["routes"][0]["service"] = "nowhere"
+    return json.dumps(tree).encode()
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """By a door whose process ran all the while.
+
+    :param ms: from the call to its answer, or to its end without one (`status` 0)
+    :param back: it told when to return
+    """
+
+    door: str
+    status: int
+    ms: float
+    back: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Outage:
+    """:param s: without an acknowledgement, from the blow
+    :param up_s: the same from when a majority's doors were open, if that was later
+    """
+
+    kind: str
+    s: float
+    up_s: float
+
+
+@dataclass(slots=True)
+class Found:
+    """What one run came to.
+
+    :param calm_ms: of each change acknowledged while nothing was wrong and nobody else called
+    :param calm_bytes: that all processes wrote for each of them, to sockets and files, beyond an idle time
+    """
+
+    history: History = field(default_factory=History)
+    wrong: list[str] = field(default_factory=list)
+    outages: list[Outage] = field(default_factory=list)
+    answered: list[Answered] = field(default_factory=list)
+    calm_ms: list[float] = field(default_factory=list)
+    calm_bytes: float = 0.0
+    struck: int = 0  # kills and wipes of one process each
+
+
+class CoreRig:
+    """It owns the operators' tasks and the record of the run; the processes are the apiary's.
+
+    :param size: core machines: two zones, the greater part in the first
+    """
+
+    def __init__(self, folder: pathlib.Path, size: int, seed: int, operators: int = 3) -> None:
+        self.rng = random.Random(seed)
+        zones = [ZONES[0]] * (size - size // 2) + [ZONES[1]] * (size // 2)
+        self.apiary = Apiary(folder, core=zones, edge=())
+        self.found = Found()
+        self.next_version = 1
+        self.highest = 0  # acknowledged
+        self.operators = operators
+        self.going = asyncio.Event()  # operators make calls
+        self.going.set()
+        self.acknowledged = asyncio.Event()  # something new, since it was last cleared
+        self.last: tuple[float, float] = (
+            0.0,
+            0.0,
+        )  # when the last new change to be acknowledged began, ended
+        self.serving = {m.name for m in self.apiary.core}  # whose doors are known to be open
+        self.back_at = -math.inf  # the last time that a machine returned
+        self.majority_at = -math.inf  # the last time that it was the one to make a majority
+        self.open_doors = 0  # of those that are being started
+        self.session: aiohttp.ClientSession | None = None
+
+    async def run(self, script: Callable[[CoreRig], Awaitable[None]]) -> Found:
+        """The script with everything up, and the verdict."""
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with self.apiary, aiohttp.ClientSession(connector=connector) as self.session:
+            tasks = [asyncio.create_task(self.operate()) for _ in range(self.operators)]
+            try:
+                await self.regained()
+                await script(self)
+                await self.read_everywhere()
+                await self.all_killed()  # the last look at the disks
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.wait(tasks)
+            for task in tasks:
+                if not task.cancelled() and task.exception() is not None:
+                    self.found.wrong.append(f"an operator: {task.exception()!r}")
+            self.found.wrong += [
+                f"{m.name}: a traceback" for m in self.apiary.core if "Traceback" in m.log
+            ] + self.found.history.wrong()
+        return self.found
+
+    # -- operators ----------------------------------------------------------------------------------
+
+    async def operate(self) -> None:
+        """Calls without end, of all kinds."""
+        while True:
+            await self.going.wait()
+            await self.any_call()
+            await asyncio.sleep(self.rng.uniform(0.5, 1.5) * PACE_S)
+
+    async def any_call(self) -> None:
+        draw, machine = self.rng.random(), self.rng.choice(self.apiary.core)
+        if draw < 0.5:
+            await self.write(machine, self.take_version())
+        elif draw < 0.6 and self.highest:
+            await self.write(machine, self.rng.randint(1, self.highest), again=True)
+        elif draw < 0.65:
+            await self.send_invalid(machine)
+        elif draw < 0.8:
+            await self.order(machine, self.rng.choice(ZONES), self.rng.random() < 0.5)
+        else:
+            await self.read(machine)
+
+    def take_version(self) -> int:
+        version, self.next_version = self.next_version, self.next_version + self.rng.randint(1, 4)
+        return version
+
+    async def call(
+        self,
+        machine: Machine,
+        method: str,
+        path: str,
+        sent: bytes | None = None,
+        patience_s: float = PATIENCE_S,
+    ) -> tuple[int, bytes]:
+        """Status (0: no whole answer in time) and body."""
+        assert self.session is not None
+        began, limit = time.monotonic(), aiohttp.ClientTimeout(total=patience_s)
+        process = machine.process if machine.name in self.serving else None
+        status, told, back = 0, b"", False
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            url = f"http://{machine.at(CONTROL)}{path}"
+            async with self.session.request(method, url, data=sent, timeout=limit) as got:
+                told, back = await got.read(), "Retry-After" in got.headers
+                status = got.status
+        up = process is not None and process is machine.process and machine.name in self.serving
+        if up and patience_s == PATIENCE_S:
+            ms = (time.monotonic() - began) * 1e3
+            self.found.answered.append(Answered(machine.name, status, ms, back))
+        return status, told
+
+    async def write(
+        self, machine: Machine, version: int, again: bool = False, patience_s: float = PATIENCE_S
+    ) -> bool:
+        """:param again: it was sent before, so it tells nothing of who can acknowledge"""
+        writes, began, sent = self.found.history.writes, time.monotonic(), body(version)
+        place = len(writes)
+        writes.append(Wrote(version, began))  # whoever is called off here may have been heard
+        status, _ = await self.call(machine, "POST", "/configuration/replace", sent, patience_s)
+        ended = time.monotonic()
+        good = status == 200
+        if good:
+            writes[place] = Wrote(version, began, ended)
+        if 300 <= status < 500:
+            self.found.wrong.append(f"{machine.name}: r{version} is proper and was refused: {status}")
+        if good and not again:
+            self.highest = max(self.highest, version)
+            self.last = max(self.last, (began, ended))
+            self.acknowledged.set()
+        return good
+
+    async def send_invalid(self, machine: Machine) -> None:
+        status, _ = await self.call(
+            machine, "POST", "/configuration/replace", invalid(self.next_version + 1_000)
+        )
+        if 200 <= status < 400:
+            self.found.wrong.append(f"{machine.name}: an invalid configuration was answered {status}")
+
+    async def order(self, machine: Machine, zone: str, on: bool) -> None:
+        orders, began = self.found.history.orders, time.monotonic()
+        place = len(orders)
+        orders.append(Ordered(zone, on, began, began + DEAD_S, False))
+        status, _ = await self.call(
+            machine, "POST", f"/evacuation/{zone}/{'initiate' if on else 'terminate'}"
+        )
+        if status == 200:
+            orders[place] = Ordered(zone, on, began, time.monotonic(), True)
+
+    async def read(self, machine: Machine) -> int:
+        """The version read back; -1: no answer."""
+        began = time.monotonic()
+        status, told = await self.call(machine, "GET", "/configuration/retrieve")
+        ended = time.monotonic()
+        if status != 200:
+            return -1
+        version = int(json.loads(told)["version"].removeprefix("r"))
+        if told != body(version):
+            self.found.wrong.append(f"{machine.name}: r{version} is not as it was sent")
+        self.found.history.reads.append(Read(version, began, ended, machine.name))
+        return version
+
+    async def calm(self, count: int) -> None:
+        """So many changes one after another, with nobody else calling."""
+        self.going.clear()
+        await asyncio.sleep(PATIENCE_S)  # whoever is in a call ends it
+        before, began = self.bytes_written(), time.monotonic()
+        for _ in range(count):
+            machine, at = self.rng.choice(self.apiary.core), time.monotonic()
+            if await self.write(machine, self.take_version()):
+                self.found.calm_ms.append((time.monotonic() - at) * 1e3)
+        after, ended = self.bytes_written(), time.monotonic()
+        await asyncio.sleep(max(1.0, ended - began))
+        idle = (self.bytes_written() - after) / (time.monotonic() - ended)
+        self.found.calm_bytes = (after - before - idle * (ended - began)) / count
+        self.going.set()
+
+    def bytes_written(self) -> int:
+        """By all processes that run, since each began, as the kernel counts."""
+        pids = [m.process.pid for m in self.apiary.core if m.process is not None and m.running]
+        told = [pathlib.Path(f"/proc/{pid}/io").read_text() for pid in pids]
+        return sum(int(line.split()[1]) for one in told for line in one.splitlines() if line[:5] == "wchar")
+
+    async def read_everywhere(self) -> None:
+        """Each machine's door gives the newest that was acknowledged before."""
+        for machine in self.apiary.core:
+
+            async def answered(machine: Machine = machine) -> bool:
+                return await self.read(machine) >= 0
+
+            await self.apiary.until(answered, f"{machine.name} reads back")
+
+    # -- faults -------------------------------------------------------------------------------------
+
+    async def regained(self) -> float:
+        """Until a new change, sent from now on, is acknowledged; how long that took (s).
+
+        :raises TimeoutError: none is
+        """
+        struck = time.monotonic()
+        probes = [asyncio.create_task(self.probe(machine)) for machine in self.apiary.core]
+        try:
+            async with asyncio.timeout(REGAIN_S):
+                while self.last[0] < struck:
+                    self.acknowledged.clear()
+                    await self.acknowledged.wait()
+        except TimeoutError as late:
+            raise TimeoutError(f"nothing acknowledged for {REGAIN_S:g} s") from late
+        finally:
+            for probe in probes:
+                probe.cancel()
+        return self.last[1] - struck
+
+    async def probe(self, machine: Machine) -> None:
+        while True:
+            await self.write(machine, self.take_version(), patience_s=HASTE_S)
+            await asyncio.sleep(HASTE_PACE_S)
+
+    async def strike(self, kind: str) -> None:
+        """One fault, its end, and what it cost."""
+        fault = FAULTS[kind]
+        mend = await fault(self)
+        struck = time.monotonic()
+        cost, _ = await asyncio.gather(self.regained(), mend())
+        up_s = struck + cost - max(struck, self.majority_at)
+        self.found.outages.append(Outage(kind, cost, max(0.0, up_s)))
+        await self.read_everywhere()
+
+    def leader(self) -> Machine:
+        """The primary by the logs; where nobody says so, anybody."""
+        return self.apiary.primary() or self.rng.choice(self.apiary.core)
+
+    def other(self) -> Machine:
+        leader = self.leader()
+        return self.rng.choice([m for m in self.apiary.core if m is not leader])
+
+    async def kill(self, machines: list[Machine]) -> None:
+        self.found.struck += len(machines)
+        self.serving -= {m.name for m in machines}
+        await asyncio.gather(*(self.apiary.kill(m.name) for m in machines))
+
+    def start_later(
+        self, machines: list[Machine], wipe: Machine | None = None
+    ) -> Callable[[], Awaitable[None]]:
+        if wipe is not None:
+            self.apiary.wipe(wipe.name)
+
+        self.open_doors = 0
+
+        async def mend() -> None:
+            await asyncio.sleep(self.rng.uniform(*DOWN_S))
+            await asyncio.gather(*(self.begin(m, len(machines)) for m in machines))
+            self.back_at = time.monotonic()
+
+        return mend
+
+    async def begin(self, machine: Machine, down: int) -> None:
+        """Start it, until its door is open.  :param down: that are started together"""
+        await self.apiary.start(machine.name)
+
+        async def open_() -> bool:
+            assert self.session is not None
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with self.session.get(f"http://{machine.at(CONTROL)}/"):
+                    return True
+            return False
+
+        await self.apiary.until(open_, f"the door of {machine.name}")
+        self.serving.add(machine.name)
+        self.open_doors += 1
+        core = len(self.apiary.core)
+        if core - down + self.open_doors == core // 2 + 1:
+            self.majority_at = time.monotonic()
+
+    def stop_for(self, machine: Machine) -> Callable[[], Awaitable[None]]:
+        process = machine.process
+        assert process is not None
+        process.send_signal(signal.SIGSTOP)
+        self.serving.discard(machine.name)
+
+        async def mend() -> None:
+            await asyncio.sleep(self.rng.uniform(*STOP_S))
+            process.send_signal(signal.SIGCONT)
+            self.serving.add(machine.name)
+            self.back_at = time.monotonic()
+
+        return mend
+
+    async def caught_up(self) -> None:
+        """Until no machine counts as lost: only then may a disk be lost."""
+        await asyncio.sleep(max(0.0, self.back_at + CATCH_UP_S - time.monotonic()))
+
+    async def all_killed(self) -> None:
+        """Every process at one moment, and what is then on the disks."""
+        await self.kill(self.apiary.core)
+        now, newest = time.monotonic(), None
+        for machine in self.apiary.core:
+            kept = kept_in(str(machine.disk)).unwrap()
+            if kept is not None and (newest is None or stamp(kept) > stamp(newest)):
+                newest = kept
+        if newest is None:
+            self.found.wrong.append("no disk holds anything")
+            return
+        on = {e.zone: e.on for e in newest.state.evacuations}
+        self.found.history.seen += [Seen(zone, on.get(zone, False), now) for zone in ZONES]
+        self.found.history.reads.append(Read(newest.state.version, now, now, "the newest disk"))
+
+
+def stamp(kept: Any) -> tuple[int, int]:
+    return kept.state.stamp.epoch, kept.state.stamp.seq
+
+
+Mend = Callable[[], Awaitable[None]]
+
+
+async def kill_primary(rig: CoreRig) -> Mend:
+    struck = [rig.leader()]
+    await rig.kill(struck)
+    return rig.start_later(struck)
+
+
+async def kill_other(rig: CoreRig) -> Mend:
+    struck = [rig.other()]
+    await rig.kill(struck)
+    return rig.start_later(struck)
+
+
+async def kill_two(rig: CoreRig) -> Mend:
+    struck = rig.rng.sample(rig.apiary.core, 2)
+    await rig.kill(struck)
+    return rig.start_later(struck)
+
+
+async def kill_all(rig: CoreRig) -> Mend:
+    await rig.all_killed()
+    return rig.start_later(rig.apiary.core)
+
+
+async def wipe_primary(rig: CoreRig) -> Mend:
+    await rig.caught_up()
+    struck = rig.leader()
+    await rig.kill([struck])
+    return rig.start_later([struck], wipe=struck)
+
+
+async def wipe_other(rig: CoreRig) -> Mend:
+    await rig.caught_up()
+    struck = rig.other()
+    await rig.kill([struck])
+    return rig.start_later([struck], wipe=struck)
+
+
+async def wipe_after_answer(rig: CoreRig) -> Mend:
+    """Whoever acknowledged last is gone with its disk as soon as the answer is there."""
+    await rig.caught_up()
+    rig.acknowledged.clear()
+    await rig.acknowledged.wait()
+    struck = rig.leader()
+    await rig.kill([struck])
+    return rig.start_later([struck], wipe=struck)
+
+
+async def wipe_and_kill_all(rig: CoreRig) -> Mend:
+    await rig.caught_up()
+    struck = rig.rng.choice(rig.apiary.core)
+    await rig.all_killed()
+    return rig.start_later(rig.apiary.core, wipe=struck)
+
+
+async def stop_primary(rig: CoreRig) -> Mend:
+    return rig.stop_for(rig.leader())
+
+
+async def stop_other(rig: CoreRig) -> Mend:
+    return rig.stop_for(rig.other())
+
+
+FAULTS: Mapping[str, Callable[[CoreRig], Awaitable[Mend]]] = {
+    "kill the primary": kill_primary,
+    "kill another": kill_other,
+    "kill two": kill_two,
+    "kill all": kill_all,
+    "wipe the primary": wipe_primary,
+    "wipe another": wipe_other,
+    "wipe after an answer": wipe_after_answer,
+    "kill all, wipe one": wipe_and_kill_all,
+    "stop the primary": stop_primary,
+    "stop another": stop_other,
+}
--- a/vetchusher/hive/paths.py
+++ b/vetchusher/hive/paths.py
@@ -23,6 +23,7 @@
 CONNECT_S = 1.0
 CONNECT_PAUSE_S = 0.2  # after a connection that failed
 LETTER_S = 0.7  # a letter that has waited so long for a connection is stale
+USED_S = 3.0  # a way that something was sent on so lately stays, whoever names its end
 SILENT_S = 1.2  # a connection on which a question timed out and nothing has come for so long is given up
 UNSENT_MS = 1_500  # bytes that no acknowledgement has come for: the path is cut
 
@@ -104,6 +105,7 @@
         self.channel: Channel | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.again_at = 0.0
+        self.used_at = 0.0  # something was last to be sent
         self.letters: deque[tuple[float, wire.Frame]] = deque(maxlen=64)
 
 
@@ -170,8 +172,12 @@
         return self.fellows.setdefault(ip, Fellow())
 
     def keep(self, ips: set[str]) -> None:
-        """Drop the ways to those that are no longer named by anybody."""
-        for ip in self.fellows.keys() - ips:
+        """Drop the ways to those that are no longer named by anybody.
+
+        Danger: a machine that has forgotten all names only its seeds, and has to ask everybody.
+        """
+        used = self.loop.time() - USED_S
+        for ip in [ip for ip, fellow in self.fellows.items() if ip not in ips and fellow.used_at <= used]:
             fellow = self.fellows.pop(ip)
             if fellow.connecting is not None:
                 fellow.connecting.cancel()
@@ -181,6 +187,7 @@
     def reach(self, ip: str) -> Channel | None:
         """The connection to a fellow; where there is none, one is begun."""
         fellow = self.fellow(ip)
+        fellow.used_at = self.loop.time()
         if fellow.channel is not None:
             return fellow.channel
         if fellow.connecting is None and self.loop.time() >= fellow.again_at:
