--- /dev/null
+++ b/benchmarks/core_campaign.py
@@ -0,0 +1,143 @@
+"""The control state under faults: real core processes on loopback, and operators who race.
+
+Usage:
+  core_campaign play [--rounds N] [--tiers N] [--sizes LIST] [--seed N] [--jobs N] [--calm N] [--keep FILE]
+  core_campaign (-h | --help)
+
+Each round plays every kind of fault once, in an order drawn from the seed.  All calls of a tier are checked
+as one history (vetchusher/emulator/call_history.py).
+
+Options:
+  --rounds N    For each tier [default: 10].
+  --tiers N     Of each size [default: 2].
+  --sizes LIST  Core machines of a tier [default: 3,5].
+  --seed N      The first tier's [default: 1].
+  --jobs N      Tiers at the same time [default: 2].
+  --calm N      Changes acknowledged while nothing is wrong, before the first fault [default: 200].
+  --keep FILE   Write the table there, as Markdown.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+from benchmarks.table import keep_table
+from vetchusher.comb import Timing
+from vetchusher.emulator.core_rig import FAULTS, PATIENCE_S, CoreRig, Found
+
+T = Timing()
+# Until the voters are free of the old lease; a candidate's pause; its questions, as the dead answer none.
+TAKEOVER_S = (T.lease_us + T.pause_us + T.probe_us) / 1e6
+BOUNDS_S = {  # by the settings, from when a majority is up
+    "kill the primary": TAKEOVER_S,
+    "kill another": T.other_zone_us / 1e6,  # it may have been the only one in another zone
+    "kill two": TAKEOVER_S,
+    "kill all": TAKEOVER_S,
+    "wipe the primary": TAKEOVER_S,
+    "wipe another": T.other_zone_us / 1e6,
+    "wipe after an answer": TAKEOVER_S,
+    "kill all, wipe one": TAKEOVER_S,
+    "stop the primary": TAKEOVER_S,
+    "stop another": T.other_zone_us / 1e6,
+}
+
+
+def part(values: Iterable[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))] if ordered else 0.0
+
+
+def play(size: int, seed: int, rounds: int, calm: int) -> Found:
+    async def script(rig: CoreRig) -> None:
+        await rig.calm(calm)
+        for _ in range(rounds):
+            for kind in rig.rng.sample(list(FAULTS), len(FAULTS)):
+                await rig.strike(kind)
+
+    with tempfile.TemporaryDirectory() as folder:
+        rig = CoreRig(pathlib.Path(folder), size, seed)
+        try:
+            return asyncio.run(rig.run(script))
+        except (TimeoutError, OSError) as end:
+            rig.found.wrong.append(f"the run ended: {str(end)[:300]!r}")
+            return rig.found
+
+
+def play_table(told: Mapping[str, Any]) -> list[str]:
+    sizes, tiers = [int(size) for size in told["--sizes"].split(",")], int(told["--tiers"])
+    runs = [(size, int(told["--seed"]) + n) for n in range(tiers) for size in sizes]
+    rounds, calm = int(told["--rounds"]), int(told["--calm"])
+    with ProcessPoolExecutor(int(told["--jobs"])) as pool:
+        parts = zip(*runs, strict=True)
+        found = list(pool.map(play, *parts, [rounds] * len(runs), [calm] * len(runs)))
+    lines = [
+        f"Load of the machine while it ran: {os.getloadavg()[1]:.0f} on {os.cpu_count()} processors.",
+        "",
+    ]
+    for size in sizes:
+        lines += size_table(size, [f for (s, _), f in zip(runs, found, strict=True) if s == size])
+    return lines
+
+
+def size_table(size: int, found: Sequence[Found]) -> list[str]:
+    struck = sum(f.struck for f in found)
+    history = [f.history for f in found]
+    acknowledged = sum(w.ended < float("inf") for h in history for w in h.writes)
+    acknowledged += sum(o.acknowledged for h in history for o in h.orders)
+    wrong = [line for f in found for line in f.wrong]
+    calm = [ms for f in found for ms in f.calm_ms]
+    calls = Counter(a.status for f in found for a in f.answered)
+    lines = [
+        f"## {size} core machines, {len(found)} tiers",
+        "",
+        f"{struck} processes killed or wiped; "
+        f"{sum(len(h.writes) + len(h.orders) for h in history)} changes sent, "
+        f"{acknowledged} acknowledged, {sum(len(h.reads) for h in history)} read back, "
+        f"{sum(len(h.seen) for h in history)} looks at zones on the disks; lost, older or never sent: "
+        f"{len(wrong)}.",
+        *(f"WRONG: {line}" for line in wrong[:10]),
+        "",
+        f"A change, calm: median {part(calm, 0.5):.1f} ms, 99th percentile {part(calm, 0.99):.1f} ms; "
+        f"{part([f.calm_bytes for f in found], 0.5) / 1e3:.1f} kB written for it, to sockets and files of "
+        "all.",
+        "",
+        "Seconds without an acknowledged change; *up*: from when a majority's doors are open.",
+        "",
+        "| fault | times | median | 99th | most | up: median | 99th | most | bound | above it |",
+        "| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |",
+    ]
+    for kind in FAULTS:
+        s = [o.s for f in found for o in f.outages if o.kind == kind]
+        up = [o.up_s for f in found for o in f.outages if o.kind == kind]
+        cells = [*(f"{part(x, q):.2f}" for x in (s, up) for q in (0.5, 0.99, 1.0)), f"{BOUNDS_S[kind]:.1f}"]
+        above = sum(one > BOUNDS_S[kind] for one in up)
+        lines.append(f"| {kind} | {len(s)} | {' | '.join(cells)} | {above} |")
+    lines += [
+        "",
+        f"Answers at doors of running processes to callers who wait {PATIENCE_S:g} s:",
+        "",
+        "| answer | times | median ms | 99th | most | with a time to return |",
+        "| --- | ---: | ---: | ---: | ---: | ---: |",
+    ]
+    for status in sorted(calls):
+        ms = [a.ms for f in found for a in f.answered if a.status == status]
+        back = sum(a.back for f in found for a in f.answered if a.status == status)
+        cells = [f"{part(ms, q):.1f}" for q in (0.5, 0.99, 1.0)]
+        lines.append(f"| {status or 'none'} | {len(ms)} | {' | '.join(cells)} | {back} |")
+    return [*lines, ""]
+
+
+def main(argv: list[str]) -> int:
+    return keep_table(__doc__, {"play": play_table}, argv, "core_campaign", ("WRONG",))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
