--- a/benchmarks/core_campaign.py
+++ b/benchmarks/core_campaign.py
@@ -107,7 +107,7 @@
         "",
         f"A change, calm: median {part(calm, 0.5):.1f} ms, 99th percentile {part(calm, 0.99):.1f} ms; "
         f"{part([f.calm_bytes for f in found], 0.5) / 1e3:.1f} kB written for it, to sockets and files of "
-        "all.",
+        f"all, and {part([f.calm_syncs for f in found], 0.5):.1f} syncs of all disks.",
         "",
         "Seconds without an acknowledged change; *up*: from when a majority's doors are open.",
         "",
--- a/tests/test_core_processes.py
+++ b/tests/test_core_processes.py
@@ -4,6 +4,7 @@
 import math
 import pathlib
 import random
+import sqlite3
 import tempfile
 from unittest import mock
 
@@ -13,6 +14,7 @@
 from vetchusher.emulator.apiary import claim_net
 from vetchusher.emulator.call_history import Ordered, Read, Seen, Wrote, versions_wrong, zones_wrong
 from vetchusher.emulator.core_rig import CoreRig
+from vetchusher.emulator.wal import Commits
 from vetchusher.hive import paths
 from vetchusher.waggle import wire_pb2 as wire
 
@@ -73,6 +75,24 @@
             self.assertThat(wrong[0], MatchesRegex(said))
 
 
+class CommitsTest(TestCase):
+    def test_commits_are_counted_while_the_process_runs_and_when_the_log_begins_anew(self):
+        with tempfile.TemporaryDirectory() as place:
+            folder = pathlib.Path(place)
+            link = sqlite3.connect(folder / "x", isolation_level=None)
+            self.addCleanup(link.close)
+            for line in ("PRAGMA journal_mode=WAL", "CREATE TABLE t (v BLOB)"):
+                link.execute(line)
+            seen = Commits()
+            found = [seen.look([folder])]
+            for size in (10, 9_000):  # one page, and several
+                link.execute("INSERT INTO t VALUES (?)", (b"x" * size,))
+                found.append(seen.look([folder]))
+            link.execute("PRAGMA wal_checkpoint(RESTART)").fetchall()
+            link.execute("INSERT INTO t VALUES (1)")
+            self.assertThat([*found, seen.look([folder])], Equals([0, 1, 2, 3]))
+
+
 class PathsTest(TestCase):
     def test_whoever_is_asked_unnamed_is_reached(self):
         """A machine that has forgotten all names only its seeds.
--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -25,6 +25,7 @@
 
 from .apiary import CONTROL, REGIONS, Apiary, Machine, first_configuration
 from .call_history import History, Ordered, Read, Seen, Wrote
+from .wal import Commits
 
 ZONES = tuple(REGIONS)
 PATIENCE_S = 1.0  # an operator's, without an answer; then it goes elsewhere
@@ -83,6 +84,7 @@
 
     :param calm_ms: of each change acknowledged while nothing was wrong and nobody else called
     :param calm_bytes: that all processes wrote for each of them, to sockets and files, beyond an idle time
+    :param calm_syncs: of all disks for each of them
     """
 
     history: History = field(default_factory=History)
@@ -91,6 +93,7 @@
     answered: list[Answered] = field(default_factory=list)
     calm_ms: list[float] = field(default_factory=list)
     calm_bytes: float = 0.0
+    calm_syncs: float = 0.0
     struck: int = 0  # kills and wipes of one process each
 
 
@@ -247,15 +250,19 @@
         """So many changes one after another, with nobody else calling."""
         self.going.clear()
         await asyncio.sleep(PATIENCE_S)  # whoever is in a call ends it
+        disks, commits = [m.disk for m in self.apiary.core], Commits()
+        commits.look(disks)
         before, began = self.bytes_written(), time.monotonic()
         for _ in range(count):
             machine, at = self.rng.choice(self.apiary.core), time.monotonic()
             if await self.write(machine, self.take_version()):
                 self.found.calm_ms.append((time.monotonic() - at) * 1e3)
+            commits.look(disks)
         after, ended = self.bytes_written(), time.monotonic()
         await asyncio.sleep(max(1.0, ended - began))
         idle = (self.bytes_written() - after) / (time.monotonic() - ended)
         self.found.calm_bytes = (after - before - idle * (ended - began)) / count
+        self.found.calm_syncs = commits.look(disks) / count
         self.going.set()
 
     def bytes_written(self) -> int:
