Cut real core processes from one another, either way alone too

Each process gets a port of its own, so that the place at which it looks for another is free for a relay that knows whose connection it is. What passes and what does not is set for each direction.

--- a/benchmarks/core_campaign.py
+++ b/benchmarks/core_campaign.py
@@ -31,23 +31,17 @@
 
 from benchmarks.table import keep_table
 from vetchusher.comb import Timing
-from vetchusher.emulator.core_rig import FAULTS, PATIENCE_S, CoreRig, Found
+from vetchusher.emulator.core_faults import FAULTS
+from vetchusher.emulator.core_rig import PATIENCE_S, CoreRig, Found
 
 T = Timing()
 # Until the voters are free of the old lease; a candidate's pause; its questions, as the dead answer none.
 TAKEOVER_S = (T.lease_us + T.pause_us + T.probe_us) / 1e6
-BOUNDS_S = {  # by the settings, from when a majority is up
-    "kill the primary": TAKEOVER_S,
-    "kill another": T.other_zone_us / 1e6,  # it may have been the only one in another zone
-    "kill two": TAKEOVER_S,
-    "kill all": TAKEOVER_S,
-    "wipe the primary": TAKEOVER_S,
-    "wipe another": T.other_zone_us / 1e6,
-    "wipe after an answer": TAKEOVER_S,
-    "kill all, wipe one": TAKEOVER_S,
-    "stop the primary": TAKEOVER_S,
-    "stop another": T.other_zone_us / 1e6,
-}
+OTHERS = ("kill another", "wipe another", "stop another", "cut off another")
+# By the settings, from when a majority is up.  Of those others one may be the only one in a second zone.
+BOUNDS_S = {kind: T.other_zone_us / 1e6 if kind in OTHERS else TAKEOVER_S for kind in FAULTS}
+# It renews until the last answer has run out, and asks on for a while.
+BOUNDS_S["the primary hears nobody"] += (T.held_us + T.regain_us) / 1e6
 
 
 def part(values: Iterable[float], share: float) -> float:
@@ -60,7 +54,7 @@
         await rig.calm(calm)
         for _ in range(rounds):
             for kind in rig.rng.sample(list(FAULTS), len(FAULTS)):
-                await rig.strike(kind)
+                await rig.strike(kind, FAULTS[kind])
 
     with tempfile.TemporaryDirectory() as folder:
         rig = CoreRig(pathlib.Path(folder), size, seed)
--- a/tests/test_core_processes.py
+++ b/tests/test_core_processes.py
@@ -13,6 +13,7 @@
 
 from vetchusher.emulator.apiary import claim_net
 from vetchusher.emulator.call_history import Ordered, Read, Seen, Wrote, versions_wrong, zones_wrong
+from vetchusher.emulator.core_faults import FAULTS
 from vetchusher.emulator.core_rig import CoreRig
 from vetchusher.emulator.wal import Commits
 from vetchusher.hive import paths
@@ -130,8 +131,8 @@
 class CoreProcessesTest(TestCase):
     def test_nothing_acknowledged_is_lost_or_read_back_older(self):
         async def script(rig):
-            for kind in ("kill the primary", "wipe another", "kill all, wipe one"):
-                await rig.strike(kind)
+            for kind in ("kill the primary", "the primary is not heard", "kill all, wipe one"):
+                await rig.strike(kind, FAULTS[kind])
 
         with tempfile.TemporaryDirectory() as folder:
             found = asyncio.run(CoreRig(pathlib.Path(folder), 3, seed=7).run(script))
--- a/vetchusher/emulator/apiary.py
+++ b/vetchusher/emulator/apiary.py
@@ -107,6 +107,7 @@
     zone: str
     folder: pathlib.Path
     core: bool
+    internal: int = INTERNAL  # the first port for what processes say to one another
     process: asyncio.subprocess.Process | None = None
 
     @property
@@ -241,7 +242,7 @@
             "region": REGIONS[machine.zone],
             "machine_class": "core" if machine.core else "edge",
             "serves": ["control", "directory"] if machine.core else ["edge"],
-            "internal_ports": [INTERNAL, INTERNAL + 15],
+            "internal_ports": [machine.internal, machine.internal + 15],
             "seed_nodes": [m.at(CONTROL) for m in self.core[:SEEDS]],
             "first_start": self.first_start,
             "counted": machine.core,
--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -15,7 +15,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -23,10 +23,13 @@
 
 from vetchusher.hive.cli import kept_in
 
-from .apiary import CONTROL, REGIONS, Apiary, Machine, first_configuration
+from .apiary import CONTROL, INTERNAL, REGIONS, Apiary, Machine, first_configuration
 from .call_history import History, Ordered, Read, Seen, Wrote
+from .cuts import Cuts
 from .wal import Commits
 
+Mend = Callable[[], Awaitable[None]]
+
 ZONES = tuple(REGIONS)
 PATIENCE_S = 1.0  # an operator's, without an answer; then it goes elsewhere
 HASTE_S = 0.3  # of whoever measures for how long nobody acknowledges, and his pause
@@ -97,6 +100,9 @@
     struck: int = 0  # kills and wipes of one process each
 
 
+Fault = Callable[["CoreRig"], Awaitable[Mend]]
+
+
 class CoreRig:
     """It owns the operators' tasks and the record of the run; the processes are the apiary's.
 
@@ -107,6 +113,9 @@
         self.rng = random.Random(seed)
         zones = [ZONES[0]] * (size - size // 2) + [ZONES[1]] * (size // 2)
         self.apiary = Apiary(folder, core=zones, edge=())
+        for number, machine in enumerate(self.apiary.core, 1):
+            machine.internal = INTERNAL - number  # each its own: what goes between two passes the cuts
+        self.cuts = Cuts({m.ip: m.internal for m in self.apiary.core})
         self.found = Found()
         self.next_version = 1
         self.highest = 0  # acknowledged
@@ -127,6 +136,7 @@
     async def run(self, script: Callable[[CoreRig], Awaitable[None]]) -> Found:
         """The script with everything up, and the verdict."""
         connector = aiohttp.TCPConnector(force_close=True)
+        await self.cuts.open()
         async with self.apiary, aiohttp.ClientSession(connector=connector) as self.session:
             tasks = [asyncio.create_task(self.operate()) for _ in range(self.operators)]
             try:
@@ -138,6 +148,7 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.wait(tasks)
+                await self.cuts.close()
             for task in tasks:
                 if not task.cancelled() and task.exception() is not None:
                     self.found.wrong.append(f"an operator: {task.exception()!r}")
@@ -306,9 +317,8 @@
             await self.write(machine, self.take_version(), patience_s=HASTE_S)
             await asyncio.sleep(HASTE_PACE_S)
 
-    async def strike(self, kind: str) -> None:
+    async def strike(self, kind: str, fault: Fault) -> None:
         """One fault, its end, and what it cost."""
-        fault = FAULTS[kind]
         mend = await fault(self)
         struck = time.monotonic()
         cost, _ = await asyncio.gather(self.regained(), mend())
@@ -329,9 +339,7 @@
         self.serving -= {m.name for m in machines}
         await asyncio.gather(*(self.apiary.kill(m.name) for m in machines))
 
-    def start_later(
-        self, machines: list[Machine], wipe: Machine | None = None
-    ) -> Callable[[], Awaitable[None]]:
+    def start_later(self, machines: list[Machine], wipe: Machine | None = None) -> Mend:
         if wipe is not None:
             self.apiary.wipe(wipe.name)
 
@@ -362,7 +370,7 @@
         if core - down + self.open_doors == core // 2 + 1:
             self.majority_at = time.monotonic()
 
-    def stop_for(self, machine: Machine) -> Callable[[], Awaitable[None]]:
+    def stop_for(self, machine: Machine) -> Mend:
         process = machine.process
         assert process is not None
         process.send_signal(signal.SIGSTOP)
@@ -376,6 +384,20 @@
 
         return mend
 
+    def cut_for(self, senders: Sequence[Machine], receivers: Sequence[Machine], both: bool) -> Mend:
+        """What those send does not reach these, nor, with `both`, the other way."""
+        first, second = [m.ip for m in senders], [m.ip for m in receivers]
+        self.cuts.block(first, second)
+        if both:
+            self.cuts.block(second, first)
+
+        async def mend() -> None:
+            await asyncio.sleep(self.rng.uniform(*STOP_S))
+            self.cuts.heal()
+            self.back_at = time.monotonic()
+
+        return mend
+
     async def caught_up(self) -> None:
         """Until no machine counts as lost: only then may a disk be lost."""
         await asyncio.sleep(max(0.0, self.back_at + CATCH_UP_S - time.monotonic()))
@@ -398,82 +420,3 @@
 
 def stamp(kept: Any) -> tuple[int, int]:
     return kept.state.stamp.epoch, kept.state.stamp.seq
-
-
-Mend = Callable[[], Awaitable[None]]
-
-
-async def kill_primary(rig: CoreRig) -> Mend:
-    struck = [rig.leader()]
-    await rig.kill(struck)
-    return rig.start_later(struck)
-
-
-async def kill_other(rig: CoreRig) -> Mend:
-    struck = [rig.other()]
-    await rig.kill(struck)
-    return rig.start_later(struck)
-
-
-async def kill_two(rig: CoreRig) -> Mend:
-    struck = rig.rng.sample(rig.apiary.core, 2)
-    await rig.kill(struck)
-    return rig.start_later(struck)
-
-
-async def kill_all(rig: CoreRig) -> Mend:
-    await rig.all_killed()
-    return rig.start_later(rig.apiary.core)
-
-
-async def wipe_primary(rig: CoreRig) -> Mend:
-    await rig.caught_up()
-    struck = rig.leader()
-    await rig.kill([struck])
-    return rig.start_later([struck], wipe=struck)
-
-
-async def wipe_other(rig: CoreRig) -> Mend:
-    await rig.caught_up()
-    struck = rig.other()
-    await rig.kill([struck])
-    return rig.start_later([struck], wipe=struck)
-
-
-async def wipe_after_answer(rig: CoreRig) -> Mend:
-    """Whoever acknowledged last is gone with its disk as soon as the answer is there."""
-    await rig.caught_up()
-    rig.acknowledged.clear()
-    await rig.acknowledged.wait()
-    struck = rig.leader()
-    await rig.kill([struck])
-    return rig.start_later([struck], wipe=struck)
-
-
-async def wipe_and_kill_all(rig: CoreRig) -> Mend:
-    await rig.caught_up()
-    struck = rig.rng.choice(rig.apiary.core)
-    await rig.all_killed()
-    return rig.start_later(rig.apiary.core, wipe=struck)
-
-
-async def stop_primary(rig: CoreRig) -> Mend:
-    return rig.stop_for(rig.leader())
-
-
-async def stop_other(rig: CoreRig) -> Mend:
-    return rig.stop_for(rig.other())
-
-
-FAULTS: Mapping[str, Callable[[CoreRig], Awaitable[Mend]]] = {
-    "kill the primary": kill_primary,
-    "kill another": kill_other,
-    "kill two": kill_two,
-    "kill all": kill_all,
-    "wipe the primary": wipe_primary,
-    "wipe another": wipe_other,
-    "wipe after an answer": wipe_after_answer,
-    "kill all, wipe one": wipe_and_kill_all,
-    "stop the primary": stop_primary,
-    "stop another": stop_other,
-}
