--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -12,41 +12,37 @@
 
 from returns.result import Failure
 
-from vetchusher.events import Event, Note
+from vetchusher.events import Event
 from vetchusher.kinds import Fault, Kind
 from vetchusher.waggle.wire_pb2 import (
-    Ask,
     CombLetter,
     CombRecord,
     CombState,
-    Drop,
     Granted,
     Join,
     Recall,
     Recalled,
     Release,
-    Renew,
     Renewed,
-    Stamp,
-    Write,
     Written,
 )
 
-from .acts import Committed, Done, Heard, Input, Kept, Output, Retire, Saved, Submitted, Tell, Timing
+from .acts import Done, Heard, Input, Kept, Output, Retire, Saved, Submitted, Tell, Timing
 from .backups import Fellows
 from .candidate import Candidate
 from .memory import Memory
 from .primary import Primary
 from .recall import Recalling
-from .state import START, Point, at, first_record, first_state, place, point, stamp, with_configuration
+from .state import Point, at, first_record, first_state, place
 from .voter import Voter
+from .witness import Witness
 
 MOST_FELLOWS = 64
 
 __all__ = ["Kept", "Member", "Timing"]
 
 
-class Member:
+class Member(Witness):
     """:param me: this machine's ip
     :param seeds: ips of the machines that it was told of at its start; at the very first start the members
     :param first_start: the system has never run
@@ -73,26 +69,22 @@
         self.rng = rng
         fresh = kept is None and first_start
         self.losses = losses
-        self.life = rng.randrange(1, 1 << 63)
         self.fellows = Fellows(me, {me: zone})
         found = kept or Kept(0, first_state(), record=first_record(seeds), copy=fresh)
         if not found.record.members:  # a disk of the first format: all members held copies
             found = replace(found, record=first_record(found.state.members))
-        self.memory = Memory(timing, found, on_disk=kept is not None or not fresh)
+        memory = Memory(timing, found, on_disk=kept is not None or not fresh)
         self.recalling = None if kept is not None or fresh else Recalling(timing, me, seeds, rng, now)
         self.remembering = False  # what was recalled is on its way to the disk
-        self.voter = Voter(timing, self.memory, now if fresh else now + timing.lease_us, now)
+        voter = Voter(timing, memory, now if fresh else now + timing.lease_us, now)
+        super().__init__(memory, voter, rng.randrange(1, 1 << 63), now)
         self.candidate: Candidate | None = None
         self.primary_work: Primary | None = None
         self.due_at: int | None = None
         self.tries = 0  # candidacies in a row that came to nothing
         self.joined_at = now
         self.retired = False
-        self._committed = CombState()
         self.ran_at = now  # last
-        self.sure_from = now  # letters heard before it may have waited here while this machine stood still
-        self.agreed: tuple[Point, int] | None = None  # what the primary last said is in force, and when
-        self.out: list[Output] = []
         if self.recalling:
             self.note(Event.FORGETFUL)
 
@@ -199,6 +191,8 @@
 
     def tick(self, now: int) -> None:
         self.voter.tick(now)
+        if self.voter.lease_to:
+            self.tries = 0
         primary, candidate = self.primary_work, self.candidate
         if primary is not None:
             primary.backups.forget_learners(now)
@@ -226,7 +220,7 @@
             self.lead(now, self.primary_work)
         self.out += self.memory.work(now)
 
-    # -- as a voter ----------------------------------------------------------------------------
+    # -- what it does on another's word: `Witness` ---------------------------------------------
 
     def wait(self, now: int, candidate: str, released: int = 0) -> int:
         """For how long (us) this voter promises that candidate nothing."""
@@ -235,112 +229,9 @@
             wait = max(wait, self.primary_work.office.lease_until(now) - now)
         return wait
 
-    def asked(self, now: int, sender: str, ask: Ask) -> None:
-        wait = self.wait(now, sender, ask.released)
-        if ask.epoch == 0:
-            wait = max(wait, self.voter.patience(now, sender))
-            if sender not in self.members and not self.forgetful:
-                self.join(now, Join(ip=sender))  # it was left out while it was away
-        elif not self.forgetful and not wait and ask.epoch > self.memory.promised:
-            self.promise(now, sender, ask.epoch)
-            return
-        answer = self.grant(ask.epoch)
-        answer.wait_ms = -(-wait // 1000)
-        self.out.append(Tell(sender, CombLetter(granted=answer)))
-
-    def grant(self, epoch: int) -> Granted:
-        """What a voter that remembers tells of itself: its promise, its record, and whether it has a copy."""
-        memory = self.memory
-        answer = Granted(epoch=epoch, promised=memory.promised, forgetful=self.forgetful)
-        if not self.forgetful:
-            answer.record.CopyFrom(memory.record)
-            answer.stamp.CopyFrom(memory.state.stamp)
-            answer.copy = memory.copy
-        return answer
-
-    def promise(self, now: int, sender: str, epoch: int) -> None:
-        self.step_down("a higher epoch was promised")
-        self.candidate, self.due_at = None, None
-        self.voter.kind(now, sender)
-        self.memory.promise(epoch, sender)
-        answer = self.grant(epoch)
-        answer.granted = True
-        self.out += self.memory.tell(sender, CombLetter(granted=answer), self.memory.number)
-        self.note(Event.EPOCH_PROMISED, epoch=epoch, to=sender)
-
-    def follows(self, now: int, sender: str, epoch: int) -> bool:
-        """Takes the sender for the primary of an epoch, and gives it a lease, unless a higher one is
-        promised."""
-        if self.forgetful or epoch == 0 or epoch < self.memory.promised:
-            return False
-        self.step_down("another is the primary of a later epoch")
+    def stand_back(self, why: str) -> None:
+        self.step_down(why)
         self.candidate, self.due_at = None, None
-        self.memory.promise(epoch, sender)
-        self.voter.lease(now, sender)
-        self.tries = 0
-        return True
-
-    def renew(self, now: int, sender: str, renew: Renew) -> None:
-        answer = Renewed(
-            epoch=renew.epoch, round=renew.round, accepted=self.follows(now, sender, renew.epoch)
-        )
-        memory = self.memory
-        answer.promised, answer.forgetful = memory.promised, self.forgetful
-        if not answer.accepted:
-            self.out.append(Tell(sender, CombLetter(renewed=answer)))
-            return
-        if renew.record.members:
-            memory.accept(renew.record)
-        answer.copy = memory.synced_copy and memory.copy
-        answer.stamp.CopyFrom(stamp(memory.synced_stamp))
-        answer.record.CopyFrom(stamp(place(memory.record)))
-        self.agree(now, renew.committed)
-        # Danger: an epoch taken from its primary is a promise too: like a record, told only from the disk.
-        self.out += memory.tell(sender, CombLetter(renewed=answer), memory.office_number)
-
-    def write(self, now: int, sender: str, write: Write) -> None:
-        # Danger: what was sent to the process before this one may be older than what its lost disk had.
-        mine = write.life == self.life
-        answer = Written(epoch=write.epoch, accepted=mine and self.follows(now, sender, write.epoch))
-        answer.promised = self.memory.promised
-        if not answer.accepted:
-            self.out.append(Tell(sender, CombLetter(written=answer)))
-            return
-        if not self.memory.copy or at(write.state) > at(self.memory.state):
-            state: CombState | None = write.state
-            if write.state.configuration_left_out:
-                state = with_configuration(write.state, self.memory.state) if self.memory.copy else None
-            if state is None:
-                answer.accepted, answer.need_whole = False, True
-                self.out.append(Tell(sender, CombLetter(written=answer)))
-                return
-            self.memory.hold(state)
-        answer.stamp.CopyFrom(self.memory.state.stamp)
-        number = max(self.memory.state_number, self.memory.office_number)
-        self.out += self.memory.tell(sender, CombLetter(written=answer), number)
-        self.agree(now, write.committed)
-
-    def drop(self, sender: str, drop: Drop) -> None:
-        """The record that stands does not name this machine: a witness keeps no state."""
-        memory = self.memory
-        if self.forgetful or drop.epoch != memory.promised or memory.owner != sender:
-            return
-        if memory.copy and at(memory.state) <= point(drop.stamp):
-            memory.drop()
-
-    def agree(self, now: int, told: Stamp) -> None:
-        """The primary, under its lease, said what is committed."""
-        if point(told) == START:
-            return
-        if self.memory.copy and point(told) == at(self.memory.state):
-            self.commit(self.memory.state)
-        if now >= self.sure_from:
-            self.agreed = point(told), now
-
-    def commit(self, state: CombState) -> None:
-        if at(state) > at(self._committed):
-            self._committed = state
-            self.out.append(Committed(state))
 
     # -- as a candidate ------------------------------------------------------------------------
 
@@ -489,6 +380,3 @@
         elif self.memory.synced == self.memory.number:
             self.recalling = None
             self.note(Event.REMEMBERED, promised=self.memory.promised, record=place(self.memory.record))
-
-    def note(self, event: Event, **facts: object) -> None:
-        self.out.append(Note(event, facts))
--- a/vetchusher/emulator/comb_stories.py
+++ b/vetchusher/emulator/comb_stories.py
@@ -9,7 +9,8 @@
 All machines have started when the first row begins, and the first is the primary.  `ack` is when the order
 above was acknowledged (or the reading answered).  A machine's cell: see `ACTS`, or `x2`, `=2` (its link to
 2 is cut, joined), or what is to be seen there: `leads`, `idle`, `copy`, `none`.  The operator sends each
-order again until it is acknowledged; a story that has not ended by itself `PATIENCE` after a row that waits has failed.
+order again until it is acknowledged; a story that has not ended by itself `PATIENCE` after a row that waits
+has failed.
 """
 
 from __future__ import annotations
