--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -2,26 +2,19 @@
 
 from __future__ import annotations
 
-import shutil
-import sqlite3
-import tempfile
 from dataclasses import replace
-from pathlib import Path
 
 import testtools
-from returns.result import Failure, Success
 
-from vetchusher.comb import Kept, Replace, SetEvacuation, Store, Timing
+from vetchusher.comb import Kept, Replace, SetEvacuation, Timing
 from vetchusher.comb.candidate import Candidate
 from vetchusher.comb.memory import Memory
 from vetchusher.comb.state import changed, first_state, ordered, with_configuration, without_configuration
-from vetchusher.comb.store import NAME
 from vetchusher.emulator.comb_faults import PLANTED, planted
 from vetchusher.emulator.comb_search import Trouble, drawn
 from vetchusher.emulator.comb_stories import Story
 from vetchusher.emulator.comb_world import Scene, World
 from vetchusher.emulator.tier_world import MS, SECOND
-from vetchusher.kinds import Kind
 from vetchusher.waggle.wire_pb2 import Granted
 
 FIVE = Scene(seeds=5)
@@ -393,94 +386,3 @@
             world.retrieve(ip, seen.append)
         world.run(2 * SECOND)
         self.assertEqual([None] * 3, seen)
-
-
-class Disk(testtools.TestCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.folder = Path(tempfile.mkdtemp())
-        self.addCleanup(shutil.rmtree, self.folder)
-
-    def kept(self, epoch: int, body: bytes = b"", version: int = 0) -> Kept:
-        state = changed(first_state("123"), (epoch, epoch))
-        return Kept(epoch, ordered(state, Replace(version, body)).unwrap() if version else state)
-
-    def store(self, name: str = "own") -> Store:
-        store = Store.open(str(self.folder / name)).unwrap()
-        self.addCleanup(store.close)
-        return store
-
-    def test_what_was_saved_comes_back_and_nothing_else_lies_there(self) -> None:
-        store = self.store()
-        self.assertEqual(Success(None), store.load())
-        for kept in (self.kept(1), self.kept(2, b"big" * 100_000, 4), self.kept(3, b"big" * 100_000, 4)):
-            self.assertEqual(Success(None), store.save(kept))
-            self.assertEqual(Success(kept), store.load())
-        self.assertEqual({NAME, f"{NAME}-wal"}, {p.name for p in (self.folder / "own").iterdir()})
-        store.close()
-        self.assertEqual(Success(kept), self.store().load())
-
-    def test_a_log_torn_anywhere_leaves_the_last_save_or_the_next(self) -> None:
-        """Power lost while the second save was on its way: any part of what it wrote is there, or garbage."""
-        store, one, two = self.store(), self.kept(1, b"a" * 9000, 1), self.kept(2, b"b" * 9000, 2)
-        store.save(one)
-        place = self.folder / "own"
-        synced = (place / f"{NAME}-wal").stat().st_size
-        store.save(two)
-        log = (place / f"{NAME}-wal").read_bytes()
-        seen = set()
-        for number, length in enumerate(range(synced, len(log) + 1, 2477)):
-            for tail in (b"", b"\0" * 3000, b"x" * 3000):
-                torn = self.folder / f"torn{number}{len(tail)}{tail[:1]!r}"
-                torn.mkdir()
-                shutil.copy(place / NAME, torn / NAME)
-                (torn / f"{NAME}-wal").write_bytes(log[:length] + tail)
-                again = self.store(torn.name)
-                loaded = again.load()
-                self.assertIn(loaded, (Success(one), Success(two)))
-                seen.add(loaded.unwrap().promised)
-                again.close()
-        self.assertEqual({1}, seen - {2})
-
-    def test_foreign_and_newer_files_are_named_and_left_alone(self) -> None:
-        self.store("newer").close()
-        link = sqlite3.connect(self.folder / "newer" / NAME)
-        link.execute("PRAGMA user_version=2")
-        link.close()
-        (self.folder / "other").mkdir()
-        sqlite3.connect(self.folder / "other" / NAME).execute("CREATE TABLE t (x)").connection.close()
-        (self.folder / "text").mkdir()
-        (self.folder / "text" / NAME).write_text("notes")
-        for name in ("newer", "other", "text"):
-            before = {p.name: p.read_bytes() for p in (self.folder / name).iterdir()}
-            fault = Store.open(str(self.folder / name)).failure()
-            self.assertEqual((Kind.BAD_STORE, 1), (fault.kind, len(fault.text.splitlines())))
-            self.assertEqual(before, {p.name: p.read_bytes() for p in (self.folder / name).iterdir()})
-
-    def test_a_spoilt_file_is_found_and_a_new_one_begun(self) -> None:
-        def rotten(store: Store) -> None:
-            assert store.link is not None
-            store.link.execute("UPDATE kept SET value = 'rotten' WHERE name = 'configuration'")
-
-        def garbage(store: Store) -> None:
-            store.close()
-            file = store.folder / NAME
-            file.write_bytes(file.read_bytes()[:100] + b"x" * 5000)
-
-        for spoil in (rotten, garbage):
-            store = self.store(spoil.__name__)
-            store.save(self.kept(5, b"body", 3))
-            spoil(store)
-            store.close()
-            store = self.store(spoil.__name__)
-            self.assertIsInstance(store.load(), Failure)
-            self.assertEqual(Success(None), store.save(self.kept(6)))
-            store.close()
-            self.assertEqual(Success(self.kept(6)), self.store(spoil.__name__).load())
-            self.assertTrue((store.folder / f"{NAME}.bad").exists())
-
-    def test_a_folder_in_use_stays_as_it_is(self) -> None:
-        store = self.store()
-        store.save(self.kept(1))
-        self.assertEqual(Kind.BAD_STORE, Store.open(str(self.folder / "own")).failure().kind)
-        self.assertEqual(Success(self.kept(1)), store.load())
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,440 @@
+"""The store on disk: what survives a loss of power, older and newer formats, full disks, exports."""
+
+from __future__ import annotations
+
+import json
+import random
+import resource
+import shutil
+import sqlite3
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from unittest import mock
+
+import testtools
+from returns.result import Failure, Success
+
+from vetchusher.comb import Kept, Replace, SetEvacuation, Store, archive, formats
+from vetchusher.comb.cells import check_of, raw_of, value_of
+from vetchusher.comb.chunks import LEAST, MOST, name_of, split
+from vetchusher.comb.digests import Tree, digests_of, small_rows, state_of
+from vetchusher.comb.file import APPLICATION, KEPT, NAME
+from vetchusher.comb.floor import floor_of
+from vetchusher.comb.state import at, changed, first_state, ordered, without_configuration
+from vetchusher.emulator.comb_world import Scene, World
+from vetchusher.emulator.tier_world import MS, SECOND
+from vetchusher.kinds import Kind
+from vetchusher.waggle.wire_pb2 import CombState, Evacuation, Stamp
+
+
+def routes(count: int, version: int = 1, changed_at: int = -1) -> bytes:
+    """A body of so many routes."""
+    rows = [
+        {
+            "host": f"h{n}.example",
+            "path_prefix": f"/p{n}/",
+            "route_type": "safe",
+            "service": "a",
+            "timeout_ms": 100,
+            "max_attempts": 3 if n == changed_at else 2,
+        }
+        for n in range(count)
+    ]
+    tree = {"version": f"r{version}", "routes": rows, "services": [{"name": "a"}], "subscribers": []}
+    return json.dumps(tree).encode()
+
+
+class Disk(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+
+    def kept(self, epoch: int, body: bytes = b"", version: int = 0) -> Kept:
+        state = changed(first_state("123"), (epoch, epoch))
+        return Kept(epoch, ordered(state, Replace(version, body)).unwrap() if version else state)
+
+    def store(self, name: str = "own") -> Store:
+        store = Store.open(str(self.folder / name)).unwrap()
+        self.addCleanup(store.close)
+        return store
+
+    def test_what_was_saved_comes_back_and_nothing_else_lies_there(self) -> None:
+        store = self.store()
+        self.assertEqual(Success(None), store.load())
+        for kept in (self.kept(1), self.kept(2, b"big" * 100_000, 4), self.kept(3, b"big" * 100_000, 4)):
+            self.assertEqual(Success(None), store.save(kept))
+            self.assertEqual(Success(kept), store.load())
+        self.assertEqual({NAME, f"{NAME}-wal"}, {p.name for p in (self.folder / "own").iterdir()})
+        store.close()
+        self.assertEqual(Success(kept), self.store().load())
+
+    def test_a_log_torn_anywhere_leaves_the_last_save_or_the_next(self) -> None:
+        """Power lost while the second save was on its way: any part of what it wrote is there, or garbage."""
+        store, one, two = self.store(), self.kept(1, b"a" * 9000, 1), self.kept(2, b"b" * 9000, 2)
+        store.save(one)
+        place = self.folder / "own"
+        synced = (place / f"{NAME}-wal").stat().st_size
+        store.save(two)
+        log = (place / f"{NAME}-wal").read_bytes()
+        seen = set()
+        for number, length in enumerate(range(synced, len(log) + 1, 2477)):
+            for tail in (b"", b"\0" * 3000, b"x" * 3000):
+                torn = self.folder / f"torn{number}{len(tail)}{tail[:1]!r}"
+                torn.mkdir()
+                shutil.copy(place / NAME, torn / NAME)
+                (torn / f"{NAME}-wal").write_bytes(log[:length] + tail)
+                again = self.store(torn.name)
+                loaded = again.load()
+                self.assertIn(loaded, (Success(one), Success(two)))
+                seen.add(loaded.unwrap().promised)
+                again.close()
+        self.assertEqual({1}, seen - {2})
+
+    def test_foreign_and_newer_files_are_named_and_left_alone(self) -> None:
+        self.store("newer").close()
+        link = sqlite3.connect(self.folder / "newer" / NAME)
+        link.execute("PRAGMA user_version=99")
+        link.close()
+        (self.folder / "other").mkdir()
+        sqlite3.connect(self.folder / "other" / NAME).execute("CREATE TABLE t (x)").connection.close()
+        (self.folder / "text").mkdir()
+        (self.folder / "text" / NAME).write_text("notes")
+        for name in ("newer", "other", "text"):
+            before = {p.name: p.read_bytes() for p in (self.folder / name).iterdir()}
+            fault = Store.open(str(self.folder / name)).failure()
+            self.assertEqual((Kind.BAD_STORE, 1), (fault.kind, len(fault.text.splitlines())))
+            self.assertEqual(before, {p.name: p.read_bytes() for p in (self.folder / name).iterdir()})
+
+    def test_a_spoilt_file_is_found_and_a_new_one_begun(self) -> None:
+        def rotten(store: Store) -> None:
+            assert store.link is not None
+            store.link.execute("UPDATE chunk SET value = 'rotten'")
+
+        def foreign(store: Store) -> None:
+            """A row of an earlier save, good in itself: the disk lost a write in the midst."""
+            assert store.link is not None
+            older = store.link.execute("SELECT * FROM kept WHERE name = 'promised'").fetchone()
+            store.save(self.kept(9, b"body", 3))
+            store.link.execute("REPLACE INTO kept VALUES (?, ?, ?)", older)
+
+        def missing(store: Store) -> None:
+            assert store.link is not None
+            store.link.execute("DELETE FROM chunk")
+
+        def garbage(store: Store) -> None:
+            store.close()
+            file = store.folder / NAME
+            file.write_bytes(file.read_bytes()[:100] + b"x" * 5000)
+
+        for spoil in (rotten, foreign, missing, garbage):
+            store = self.store(spoil.__name__)
+            store.save(self.kept(5, b"body", 3))
+            spoil(store)
+            store.close()
+            store = self.store(spoil.__name__)
+            self.assertIsInstance(store.load(), Failure)
+            self.assertEqual(Success(None), store.save(self.kept(6)))
+            store.close()
+            self.assertEqual(Success(self.kept(6)), self.store(spoil.__name__).load())
+            self.assertEqual(
+                {NAME, f"{NAME}.bad"}, {p.name for p in store.folder.iterdir() if "wal" not in p.name}
+            )
+
+    def test_a_folder_in_use_stays_as_it_is(self) -> None:
+        store = self.store()
+        store.save(self.kept(1))
+        self.assertEqual(Kind.BAD_STORE, Store.open(str(self.folder / "own")).failure().kind)
+        self.assertEqual(Success(self.kept(1)), store.load())
+
+    def test_a_crash_in_the_midst_of_carrying_the_log_over(self) -> None:
+        """The log is whole; any number of its pages has reached the file, the next one half."""
+        store, kept = self.store(), self.kept(1, routes(400), 1)
+        store.save(kept)
+        place = self.folder / "own"
+        log, before = (place / f"{NAME}-wal").read_bytes(), (place / NAME).read_bytes()
+        store.close()
+        after = (place / NAME).read_bytes()
+        self.assertGreater(len(after), len(before))
+        for length in range(0, len(after), 6 * 1024):
+            torn = self.folder / f"torn{length}"
+            torn.mkdir()
+            (torn / NAME).write_bytes(after[:length] + before[length:])
+            (torn / f"{NAME}-wal").write_bytes(log)
+            again = self.store(torn.name)
+            self.assertEqual(Success(kept), again.load())
+            again.close()
+
+    # -- formats -------------------------------------------------------------------------------
+
+    def first_format(self, name: str, kept: Kept) -> Path:
+        """A folder as the program wrote it whose format was 1."""
+        place = self.folder / name
+        place.mkdir()
+        link = sqlite3.connect(place / NAME, isolation_level=None)
+        link.execute(f"PRAGMA application_id={APPLICATION}")
+        link.execute("PRAGMA user_version=1")
+        link.execute(KEPT)
+        head = without_configuration(kept.state).SerializeToString()
+        rows = {"promised": b"%d" % kept.promised, "state": head, "configuration": kept.state.configuration}
+        for row, value in rows.items():
+            link.execute("INSERT INTO kept VALUES (?, ?, ?)", (row, value, check_of(row, value)))
+        link.execute("PRAGMA journal_mode=WAL")
+        link.close()
+        return place
+
+    def test_a_store_of_the_first_format_is_brought_up(self) -> None:
+        kept = self.kept(7, routes(300), 4)
+        place = self.first_format("old", kept)
+        store = self.store("old")
+        self.assertEqual(Success(kept), store.load())
+        assert store.link is not None
+        self.assertEqual([(2,)], store.link.execute("PRAGMA auto_vacuum").fetchall())
+        store.save(self.kept(8, routes(300), 4))
+        store.close()
+        self.assertEqual({NAME}, {p.name for p in place.iterdir()})
+        self.assertEqual(Success(self.kept(8, routes(300), 4)), self.store("old").load())
+
+    def test_power_lost_while_it_is_brought_up(self) -> None:
+        """Any part of what was written is there: the folder is of the one format or of the other, whole."""
+        kept = self.kept(7, routes(100), 4)
+        place = self.first_format("old", kept)
+        before = (place / NAME).read_bytes()
+        with mock.patch.object(formats, "settle", wraps=formats.settle) as settle:
+            link = sqlite3.connect(place / NAME, isolation_level=None)
+            settle(link, ["locking_mode=EXCLUSIVE", "journal_mode=WAL", "synchronous=FULL"])
+            with mock.patch.object(formats, "settle", lambda link, pragmas: settle(link, only(pragmas))):
+                self.assertTrue(formats.migrated(link))
+            log = (place / f"{NAME}-wal").read_bytes()
+        formats_seen = set()
+        for length in [*range(0, len(log), 1999), len(log)]:
+            torn = self.folder / f"torn{length}"
+            torn.mkdir()
+            (torn / NAME).write_bytes(before)
+            (torn / f"{NAME}-wal").write_bytes(log[:length])
+            formats_seen.add(format_in(torn))
+            again = self.store(torn.name)
+            self.assertEqual(Success(kept), again.load())
+            again.close()
+        self.assertEqual({1, 2}, formats_seen)
+        link.close()
+
+    def test_a_spoilt_store_of_the_first_format_is_forgotten_not_brought_up(self) -> None:
+        place = self.first_format("old", self.kept(7, b"body", 4))
+        link = sqlite3.connect(place / NAME, isolation_level=None)
+        link.execute("UPDATE kept SET value = 'rotten' WHERE name = 'promised'")
+        link.close()
+        store = self.store("old")
+        self.assertIsInstance(store.load(), Failure)
+        self.assertEqual(Success(None), store.save(self.kept(9)))
+        self.assertEqual(Success(self.kept(9)), store.load())
+
+    def test_a_row_of_any_kind_comes_back(self) -> None:
+        for hint, value in (
+            (int, 7),
+            (str, "10.0.0.1"),
+            (bytes, b"x"),
+            (bool, True),
+            (Stamp, Stamp(epoch=3)),
+        ):
+            self.assertEqual(value, value_of(hint, raw_of(value)))
+        self.assertEqual("a", value_of(str | None, b"a"))
+
+    # -- chunks, and bounds --------------------------------------------------------------------
+
+    def test_a_body_in_chunks_is_the_same_body_and_a_change_moves_few(self) -> None:
+        bodies = [b"", b"{}", routes(500), b"}" * 100_000, b"{" * 100_000, bytes(range(256)) * 999]
+        for body in bodies:
+            pieces = split(body)
+            self.assertEqual(body, b"".join(pieces))
+            self.assertEqual([], [len(p) for p in pieces[:-1] if not LEAST <= len(p) <= MOST])
+        before, after = ({name_of(p) for p in split(routes(5000, 1, at))} for at in (-1, 2500))
+        self.assertThat(len(after - before), testtools.matchers.LessThan(4))
+        self.assertThat(len(before), testtools.matchers.GreaterThan(100))
+
+    def test_a_changed_route_writes_its_chunk_and_what_is_gone_leaves(self) -> None:
+        store = self.store()
+        store.save(self.kept(1, routes(5000), 1))
+        first, log = store.chunks, store.folder / f"{NAME}-wal"
+        assert store.link is not None
+        store.link.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+        store.save(self.kept(1, routes(5000, changed_at=2500), 2))
+        self.assertThat(log.stat().st_size, testtools.matchers.LessThan(120_000))
+        self.assertThat(len(store.chunks ^ first), testtools.matchers.LessThan(8))
+        on_disk = {name for (name,) in store.link.execute("SELECT name FROM chunk")}
+        self.assertEqual(store.chunks, on_disk)
+
+    def test_the_folder_stays_in_its_bounds(self) -> None:
+        store, rng = Store.open(str(self.folder / "own"), 8).unwrap(), random.Random(1)
+        self.addCleanup(store.close)
+        most = 0
+        for version in range(1, 60):
+            body = routes(rng.choice((5, 500, 5000)), version)
+            self.assertEqual(Success(None), store.save(self.kept(version, body, version)))
+            most = max(most, sum(p.stat().st_size for p in store.folder.iterdir()))
+        self.assertThat(most, testtools.matchers.LessThan(8 << 20))
+        store.save(self.kept(60, routes(5, 60), 60))
+        assert store.link is not None
+        store.link.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+        self.assertThat((store.folder / NAME).stat().st_size, testtools.matchers.LessThan(400_000))
+
+    def test_what_is_too_much_for_the_disk_is_refused_and_what_was_held_stays(self) -> None:
+        store = Store.open(str(self.folder / "own"), 4).unwrap()
+        self.addCleanup(store.close)
+        small = self.kept(1, routes(500), 1)
+        store.save(small)
+        self.assertEqual(
+            Kind.BAD_STORE, store.save(self.kept(2, random.Random(1).randbytes(3 << 20), 2)).failure().kind
+        )
+        self.assertEqual(Success(small), store.load())
+        self.assertEqual(Success(None), store.save(self.kept(3, routes(600), 3)))
+
+    def test_a_full_disk_keeps_what_it_held_and_recovers_by_itself(self) -> None:
+        store, one = self.store(), self.kept(1, routes(500), 1)
+        store.save(one)
+        (store.folder / f"{NAME}.bad").write_bytes(b"x")
+        with full_beyond(sum(p.stat().st_size for p in store.folder.glob(f"{NAME}*"))):
+            outcome = store.save(self.kept(2, routes(4000), 2))
+            self.assertEqual(Kind.BAD_STORE, outcome.failure().kind)
+            self.assertEqual(Success(one), store.load())
+        self.assertFalse((store.folder / f"{NAME}.bad").exists())  # the first that goes
+        two = self.kept(3, routes(4000), 3)
+        self.assertEqual(Success(None), store.save(two))
+        store.close()
+        self.assertEqual(Success(two), self.store().load())
+
+
+@contextmanager
+def full_beyond(size: int) -> Iterator[None]:
+    """No file can grow beyond it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (size, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
+
+
+def only(pragmas: list[str]) -> list[str]:
+    """What belongs to the one transaction."""
+    return [each for each in pragmas if each.startswith("user_version")]
+
+
+def format_in(folder: Path) -> int:
+    with tempfile.TemporaryDirectory() as place:
+        link = sqlite3.connect(shutil.copytree(folder, Path(place) / "copy") / NAME)
+        ((found,),) = link.execute("PRAGMA user_version").fetchall()
+        link.close()
+    return int(found)
+
+
+class Exports(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+        state = ordered(changed(first_state("123"), (5, 9)), Replace(4, routes(20, 4))).unwrap()
+        self.kept = Kept(5, ordered(state, SetEvacuation("north", True)).unwrap())
+
+    def test_any_wrong_byte_is_refused(self) -> None:
+        data = archive.packed(self.kept)
+        self.assertEqual(Success(self.kept), archive.unpacked(data))
+        for place in range(0, len(data), 7):
+            self.assertIsInstance(archive.unpacked(spoilt(data, place)), Failure, place)
+        for other in (b"", data[:-1], data + b"x", data.replace(b"export 1", b"export 2", 1)):
+            self.assertEqual(1, len(archive.unpacked(other).failure().text.splitlines()))
+
+    def test_an_import_is_no_memory_until_it_has_been_saved(self) -> None:
+        floor = floor_of(self.kept, 1_700_000_000)
+        self.assertEqual(Success(None), archive.bring_in(self.folder / "new", floor))
+        self.assertIsInstance(archive.bring_in(self.folder / "new", floor), Failure)
+        store = Store.open(str(self.folder / "new")).unwrap()
+        self.addCleanup(store.close)
+        self.assertEqual((Success(None), floor), (store.load(), store.floor))
+        store.save(self.kept)
+        self.assertEqual((Success(self.kept), None), (store.load(), store.floor))
+
+    def test_floors_only_grow(self) -> None:
+        again = floor_of(floor_of(self.kept, 0), 0)
+        self.assertThat(again.promised, testtools.matchers.GreaterThan(floor_of(self.kept, 0).promised))
+        self.assertEqual(1_800_000_000, floor_of(self.kept, 1_800_000_000).promised)
+
+    def test_one_machine_restored_from_an_old_export_harms_nobody(self) -> None:
+        for wiped in "123":
+            world = started()
+            acked(world, 5)
+            old = floor_of(next(m.disk for m in world.machines.values() if m.disk), 0)
+            acked(world, 6)
+            world.wipe(wiped)
+            world.floors[wiped] = old
+            world.start(wiped)
+            world.run(world.at + 6 * SECOND)
+            held = world.machines[wiped].disk
+            assert held is not None
+            self.assertEqual((6, []), (held.state.version, world.judge.wrong))
+            self.assertThat(held.promised, testtools.matchers.LessThan(old.promised))
+
+    def test_a_core_whose_disks_are_all_gone_begins_from_the_highest_export(self) -> None:
+        for given in ("1", "3", "12", "123"):
+            world = started()
+            acked(world, 5)
+            floor = floor_of(next(m.disk for m in world.machines.values() if m.disk), 0)
+            for ip in world.seeds:
+                world.wipe(ip)
+            world.judge.wrong.clear()
+            world.floors = {ip: Kept(floor.promised + n, floor.state) for n, ip in enumerate(given)}
+            for ip in world.seeds:
+                world.start(ip)
+            world.run(world.at + 25 * SECOND)
+            for ip in world.seeds:
+                held = world.machines[ip].disk
+                assert held is not None
+                self.assertEqual(5, held.state.version)
+                self.assertThat(at(held.state)[0], testtools.matchers.GreaterThan(floor.promised))
+
+
+def started() -> World:
+    world = World(Scene(seed=3))
+    for ip in world.seeds:
+        world.start(ip, first=True)
+    world.run(world.at + SECOND)
+    return world
+
+
+def acked(world: World, version: int) -> None:
+    done: list[bool] = []
+    while not any(done):
+        world.replace("1", version, done.append)
+        world.run(world.at + 500 * MS)
+    world.run(world.at + SECOND)
+
+
+def spoilt(data: bytes, place: int) -> bytes:
+    return data[:place] + bytes([data[place] ^ 1]) + data[place + 1 :]
+
+
+class Digests(testtools.TestCase):
+    def test_rows_make_the_state_again_and_ranges_tell_where_two_differ(self) -> None:
+        state = first_state("123")
+        for zone in ("b", "a"):
+            state = ordered(state, SetEvacuation(zone, True)).unwrap()
+        state = ordered(state, Replace(3, routes(300))).unwrap()
+        chunks = split(state.configuration)
+        rows = small_rows(state) | {f"chunk/{n:08d}": piece for n, piece in enumerate(chunks)}
+        self.assertEqual(changed(state, (0, 0)), changed(state_of(rows), (0, 0)))
+        names = [name_of(piece) for piece in chunks]
+        own = Tree.over(digests_of(state, names))
+        self.assertEqual([], own.differing(0, own.told(0, ())))
+        other = Tree.over(digests_of(state, [b"x" * 16, *names[1:]]))
+        ranges: list[int] = []
+        for level in range(3):
+            ranges = own.differing(level, other.told(level, ranges))
+            self.assertEqual(1, len(ranges))
+        for changed_state in (
+            CombState(members="12"),
+            CombState(version=9),
+            CombState(evacuations=[Evacuation()]),
+        ):
+            self.assertNotEqual(own.root, Tree.over(digests_of(changed_state, names)).root)
--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -12,7 +12,6 @@
 import sys
 import tempfile
 import tomllib
-from types import SimpleNamespace
 from unittest import mock
 
 import testtools
@@ -20,7 +19,6 @@
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
-from returns.result import Success
 from testtools.matchers import Contains, Equals
 
 from vetchusher import comb
@@ -469,28 +467,44 @@
         code, out, err = self.call("check", f"--configuration={bad}")
         self.assertThat((code, out, len(err.splitlines())), Equals((2, "", 1)))
 
-    def test_a_store_is_looked_into_by_a_copy(self):
-        state = CombState(stamp=Stamp(epoch=4, seq=9), version=41, configuration=b"{}", members=["10.2.0.5"])
+    def test_a_folder_is_looked_into_taken_out_and_brought_in(self):
+        state = CombState(stamp=Stamp(epoch=4, seq=9), version=41, configuration=json.dumps(TREE).encode())
+        state.members.append("10.2.0.5")
         state.evacuations.add(zone="north-1", on=True, order=3)
-
-        class Store:
-            @classmethod
-            def open(cls, folder):
-                (pathlib.Path(folder) / "store").write_text("mended")
-                return Success(cls())
-
-            def load(self):
-                return Success(SimpleNamespace(promised=5, state=state))
-
-        (self.folder / "store").write_text("as it was")
-        with mock.patch.object(comb, "Store", Store, create=True):
-            code, out, _ = self.call("inspect", str(self.folder))
+        data, file, new = (str(self.folder / name) for name in ("data", "export", "new"))
+        store = comb.Store.open(data).unwrap()
+        store.save(comb.Kept(5, state))
+        store.close()
+        before = {p.name: p.read_bytes() for p in pathlib.Path(data).iterdir()}
+        code, out, _ = self.call("inspect", data)
         told = json.loads(out)
         self.assertThat(
-            (code, told["promised"], told["stamp"], told["version"]), Equals((0, 5, "4.9", "r41"))
+            (code, told["promised"], told["stamp"], told["version"], told["imported"]),
+            Equals((0, 5, "4.9", "r41", False)),
         )
         self.assertThat(told["evacuations"], Equals({"north-1": "on, order 3"}))
-        self.assertThat((self.folder / "store").read_text(), Equals("as it was"))
+        self.assertThat((len(told["ranges"]), told["format"]), Equals((17, 2)))
+        for call in (("export", data, file), ("import", file, new), ("check", "--data", new)):
+            code, out, err = self.call(*call)
+            self.assertThat((code, len(out.splitlines()), err), Equals((0, 1, "")))
+        self.assertThat({p.name: p.read_bytes() for p in pathlib.Path(data).iterdir()}, Equals(before))
+        code, out, _ = self.call("inspect", new)
+        again = json.loads(out)
+        self.assertThat((again["imported"], again["ranges"]), Equals((True, told["ranges"])))
+        spoilt = self.folder / "spoilt"
+        raw = pathlib.Path(file).read_bytes()
+        spoilt.write_bytes(raw[:-9] + b"x" + raw[-8:])
+        for call in (
+            ("export", data, file),  # it exists
+            ("export", str(self.folder / "none"), f"{file}2"),
+            ("import", file, new),  # it is not empty
+            ("import", str(spoilt), f"{new}2"),
+            ("inspect", str(self.folder)),  # no data folder
+            ("check", "--data", str(self.folder)),
+        ):
+            code, out, err = self.call(*call)
+            self.assertThat((code, out, len(err.splitlines())), Equals((2, "", 1)))
+        self.assertFalse((self.folder / "new2").exists())
 
     def test_a_misspelt_flag_is_turned_down_before_anything_runs(self):
         for argv in (
--- /dev/null
+++ b/vetchusher/comb/digests.py
@@ -0,0 +1,109 @@
+"""Digests over ranges: two copies of the state find out by few bytes where they differ.
+
+The state as rows: a chunk of the configuration, an evacuation, a further field each.  A row belongs to one of
+256 leaves, by its key; sixteen leaves make a node, sixteen nodes the root.  Digests are taken over the rows'
+own digests, which whoever keeps the chunks knows: no content is read for them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from blake3 import blake3
+
+from vetchusher.waggle.wire_pb2 import CombState
+
+FAN = 16
+LEAVES = FAN * FAN
+DEPTH = 2  # levels below the root: 1 of nodes, 2 of leaves
+BYTES = 16
+CHUNK, EVACUATION, FIELD = "chunk/", "evacuation/", "field/"
+APART = {"stamp", "configuration", "configuration_left_out", "evacuations"}  # fields that have no row
+
+
+def digest(value: bytes) -> bytes:
+    return blake3(value).digest(BYTES)
+
+
+def leaf_of(key: str) -> int:
+    return digest(key.encode())[0]
+
+
+def chunk_key(number: int) -> str:
+    return f"{CHUNK}{number:08d}"
+
+
+def small_rows(state: CombState) -> dict[str, bytes]:
+    """Rows of all but the configuration; a field that this program does not know is part of none."""
+    rows = {f"{EVACUATION}{e.zone}": e.SerializeToString(deterministic=True) for e in state.evacuations}
+    for field, _ in state.ListFields():
+        if field.name not in APART:
+            alone = CombState()
+            alone.CopyFrom(state)
+            for other, _ in state.ListFields():
+                if other.name != field.name:
+                    alone.ClearField(other.name)
+            rows[f"{FIELD}{field.name}"] = alone.SerializeToString(deterministic=True)
+    return rows
+
+
+def digests_of(state: CombState, chunks: Iterable[bytes]) -> dict[str, bytes]:
+    """:param chunks: names (digests) of the configuration's chunks, in their order"""
+    found = {key: digest(value) for key, value in small_rows(state).items()}
+    return found | {chunk_key(number): name for number, name in enumerate(chunks)}
+
+
+def state_of(rows: Mapping[str, bytes]) -> CombState:
+    """The state of whole rows, without its stamp.
+
+    :raises DecodeError: rows that are none
+    """
+    state = CombState()
+    for key, value in sorted(rows.items()):
+        if key.startswith(EVACUATION):
+            state.evacuations.add().MergeFromString(value)
+        elif key.startswith(FIELD):
+            state.MergeFromString(value)
+    state.evacuations.sort(key=lambda e: e.order)
+    state.configuration = b"".join(rows[key] for key in sorted(rows) if key.startswith(CHUNK))
+    return state
+
+
+@dataclass(slots=True, frozen=True)
+class Tree:
+    """:param levels: the root; its nodes; their leaves"""
+
+    levels: tuple[tuple[bytes, ...], ...]
+
+    @staticmethod
+    def over(digests: Mapping[str, bytes]) -> Tree:
+        """:param digests: of the rows, by key"""
+        leaves: list[list[str]] = [[] for _ in range(LEAVES)]
+        for key in sorted(digests):
+            leaves[leaf_of(key)].append(key)
+        level = tuple(digest(b"".join(k.encode() + b"\0" + digests[k] for k in keys)) for keys in leaves)
+        levels = [level]
+        while len(level) > 1:
+            level = tuple(digest(b"".join(level[at : at + FAN])) for at in range(0, len(level), FAN))
+            levels.insert(0, level)
+        return Tree(tuple(levels))
+
+    @property
+    def root(self) -> bytes:
+        return self.levels[0][0]
+
+    def told(self, level: int, ranges: Sequence[int]) -> dict[int, bytes]:
+        """Digests at a level, of the ranges that lie below those of the level above."""
+        if not 0 <= level <= DEPTH:
+            return {}
+        if level == 0:
+            return {0: self.root}
+        below = [FAN * above + number for above in ranges for number in range(FAN)]
+        return {number: self.levels[level][number] for number in below if number < len(self.levels[level])}
+
+    def differing(self, level: int, told: Mapping[int, bytes]) -> list[int]:
+        own = self.levels[level]
+        return [
+            number for number, value in sorted(told.items()) if number < len(own) and own[number] != value
+        ]
--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -46,6 +46,7 @@
     :param first_start: the system has never run
     :param kept: what was on this machine's disk; None: nothing, or nothing that could be read
     :param now: us of the machine's steady clock
+    :param floor: what an import brought; it is no memory (`floor.py`)
     """
 
     def __init__(
@@ -58,17 +59,18 @@
         timing: Timing,
         rng: random.Random,
         now: int,
+        floor: Kept | None = None,
     ) -> None:
         self.me = me
         self.seeds = tuple(seeds)
         self.timing = timing
         self.rng = rng
-        fresh = kept is None and first_start
+        fresh = kept is None and first_start and floor is None
         self.fellows = Fellows(me, {me: zone})
         self.memory = Memory(
             timing, kept or Kept(0, first_state(seeds)), on_disk=kept is not None or not fresh
         )
-        self.recalling = None if kept is not None or fresh else Recalling(timing, me, seeds, rng, now)
+        self.recalling = None if kept is not None or fresh else Recalling(timing, me, seeds, rng, now, floor)
         self.remembering = False  # what was recalled is on its way to the disk
         # Danger: the process before this one may have given a lease a moment ago.
         self.silent_until = now if fresh else now + timing.lease_us
@@ -394,6 +396,9 @@
         if not self.forgetful:
             answer.promised = self.memory.promised
             answer.state.CopyFrom(self.memory.state)
+        elif self.recalling is not None and self.recalling.floor is not None:
+            answer.promised = self.recalling.floor.promised
+            answer.state.CopyFrom(self.recalling.floor.state)
         self.out.append(Tell(sender, CombLetter(recalled=answer)))
 
     def remember(self, now: int) -> None:
--- a/vetchusher/comb/recall.py
+++ b/vetchusher/comb/recall.py
@@ -14,6 +14,7 @@
 from vetchusher.waggle.wire_pb2 import CombLetter, CombState, Recall, Recalled
 
 from .acts import Kept, Output, Tell, Timing
+from .floor import begun_from
 from .state import first_state, majority, newest
 
 MOST_MET = 64
@@ -23,7 +24,17 @@
     """It owns the answers: one a machine asked.  Asked are the seeds, the members that others name, and
     whoever calls."""
 
-    def __init__(self, timing: Timing, me: str, seeds: Sequence[str], rng: random.Random, now: int) -> None:
+    def __init__(
+        self,
+        timing: Timing,
+        me: str,
+        seeds: Sequence[str],
+        rng: random.Random,
+        now: int,
+        floor: Kept | None = None,
+    ) -> None:
+        """:param floor: what an import brought: where nobody remembers, all begin from the highest"""
+        self.floor = floor
         self.timing = timing
         self.me = me
         self.seeds = tuple(seeds)
@@ -69,7 +80,7 @@
         remembering = sum(self.remembers(ip) for ip in others)
         if remembering < majority(len(state.members)) and not others <= self.answers.keys():
             return None
-        return Kept(max(a.promised for a in self.answers.values()), state)
+        return Kept(max(a.promised for a in self.answers.values() if not a.forgetful), state)
 
     def anew(self, now: int) -> Kept | None:
         """All seeds have forgotten too, and nobody else has called: the system begins anew.
@@ -80,4 +91,6 @@
         everybody = self.contacts() <= self.answers.keys()
         if self.me not in self.seeds or not everybody or now < self.began + self.timing.anew_us:
             return None
-        return Kept(0, first_state(self.seeds))
+        told = [Kept(a.promised, a.state) for a in self.answers.values() if a.forgetful and a.state.members]
+        floors = told + ([self.floor] if self.floor is not None else [])
+        return begun_from(floors, sorted(set(self.seeds))) or Kept(0, first_state(self.seeds))
--- a/vetchusher/comb/store.py
+++ b/vetchusher/comb/store.py
@@ -1,4 +1,4 @@
-"""What a member keeps on its disk: sqlite3 in WAL, one small table of rows with checksums.
+"""What a member keeps on its disk: sqlite3 in WAL, small rows with checksums, the configuration in chunks.
 
 Synchronous; whoever uses it gives it a thread of its own.  Every `save` is synced on return: a later loss
 of power leaves the last one saved, or one begun after it, whole.
@@ -7,52 +7,82 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import sqlite3
-import struct
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
-from blake3 import blake3
 from google.protobuf.message import DecodeError
 from returns.result import Failure, Result, Success
 
 from vetchusher.kinds import Fault, Kind
-from vetchusher.waggle.wire_pb2 import CombState
 
 from .acts import Kept
-from .state import changed
+from .cells import MANIFEST, SEAL, cells_of, check_of, kept_of, seal_of
+from .chunks import listed, name_of, split
+from .digests import Tree, digests_of
+from .file import FORMAT, LOG_BYTES, NAME, FileError, connect, create, hurt, put_aside, strange
+from .formats import migrated
+from .state import Point, at
 
-NAME = "comb.sqlite3"
-FORMAT = 1  # 1: rows `promised`, `state`, `configuration`
-APPLICATION = 0x56434D42
-HEADER = b"SQLite format 3\x00"
-HEADER_BYTES, FORMAT_AT, APPLICATION_AT = 72, 60, 68  # of the file; sqlite.org/fileformat2.html
-PAGES_LEFT = 256  # in the log before it is carried over
-LOCKED_S = 0.2  # that a folder's last process may take to end
-LOG_BYTES = 2_000_000  # to which it is then cut
-SPOILT = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
-TABLE = "CREATE TABLE kept (name TEXT PRIMARY KEY, value BLOB NOT NULL, digest BLOB NOT NULL)"
+IMPORTED = "imported"  # a row that only `archive` writes, and that goes with the next save
+SLACK_PAGES = 64  # that may lie free in the file
+SCAN_BYTES = 256 << 10  # of rows looked at in one go
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    """What a disk holds of the state, by its digests.
+
+    :param digests: of its rows (`digests.digests_of`), by key
+    """
+
+    stamp: Point
+    digests: dict[str, bytes]
+    tree: Tree
+
+
+@dataclass(slots=True, frozen=True)
+class Scanned:
+    """:param bad: rows that are not as they were written, a few of them
+    :param whole: with this all of them have been looked at once more
+    :param size: bytes looked at
+    """
+
+    bad: tuple[str, ...]
+    whole: bool
+    size: int
 
 
 class Store:
-    """One folder's.  It owns the file and its log; the log is carried over every `PAGES_LEFT` pages."""
+    """One folder's.  It owns the file and its log, and knows by digest each row that lies there."""
 
-    def __init__(self, folder: Path, link: sqlite3.Connection | None) -> None:
-        self.folder = folder
-        self.link = link
+    def __init__(self, folder: Path, link: sqlite3.Connection | None, most_bytes: int = 0) -> None:
+        self.folder, self.link, self.most_bytes = folder, link, most_bytes
         self.broken = False  # nothing in the file can be trusted: the next save begins a new one
-        self.configuration: bytes | None = None  # digest of the row on disk
+        self.floor: Kept | None = None  # what an import brought (`archive`), until the first save
+        self.forget()
+
+    def forget(self) -> None:
+        """Whatever lies on the disk, the next save writes all of it again."""
+        self.checks: dict[str, bytes] = {}  # of the small rows on disk
+        self.chunks: set[bytes] = set()  # names of those on disk
+        self.body: bytes | None = None  # digest of the configuration on disk
+        self.copy: Copy | None = None
+        self.scanned = b""  # name of the chunk that was looked at last
 
     @staticmethod
-    def open(folder: str) -> Result[Store, Fault]:
-        """Of a folder that is empty or ours.
+    def open(folder: str, disk_mb: int = 0) -> Result[Store, Fault]:
+        """Of a folder that is empty or ours; one of an older format is brought up to this one.
 
         A failure says in a line what stands in the way: a file of another kind or of a newer format, which is
         left as it was; another process that uses it; a disk that does not answer.  Ours, but spoilt, opens,
         and fails at `load`.
+
+        :param disk_mb: of the whole disk; 0: unknown.  A quarter is for the file, as much for its log, as
+            much for a spoilt file put aside; what does not fit is refused as by a full disk
         """
-        place = Path(folder)
+        place, most_bytes = Path(folder), (disk_mb << 20) // 4
         try:
             if not place.exists():
                 place.mkdir(parents=True)
@@ -61,144 +91,208 @@
                 return Failure(Fault(Kind.BAD_STORE, f"{place / NAME}: {fault}"))
             if not (place / NAME).exists():
                 create(place)
-            return Success(Store(place, connect(place / NAME)))
+            link = connect(place / NAME, most_bytes)
+            store = Store(place, link, most_bytes)
+            store.broken = not migrated(link)
+            return Success(store)
+        except FileError as error:
+            return Failure(Fault(Kind.BAD_STORE, f"{place / NAME}: {error}"))
         except sqlite3.DatabaseError as error:
-            if getattr(error, "sqlite_errorcode", 0) in SPOILT:
-                return Success(Store(place, None))
+            if hurt(error):
+                return Success(Store(place, None, most_bytes))
             return Failure(Fault(Kind.BAD_STORE, f"{place / NAME}: {error}"))
         except OSError as error:
             return Failure(Fault(Kind.BAD_STORE, f"{place}: {error}"))
 
+    # -- reading -------------------------------------------------------------------------------
+
     def load(self) -> Result[Kept | None, Fault]:
-        """What was saved last; None: nothing ever was.
+        """What was saved last; None: nothing ever was, or the folder was imported (`floor`).
 
         On a failure the caller goes on as with an empty disk (`first_start` false: forgetful, and all others
         are asked); the file is put aside as `comb.sqlite3.bad` by the next save.
         """
-        kept = self.read()
+        kept = self.bad("is spoilt") if self.broken or self.link is None else self.read(self.link)
         self.broken = not isinstance(kept, Success)
         return kept
 
-    def read(self) -> Result[Kept | None, Fault]:
-        if self.link is None:
-            return self.bad("is spoilt")
+    def read(self, link: sqlite3.Connection) -> Result[Kept | None, Fault]:
+        self.forget()
         try:
-            rows = self.link.execute("SELECT name, value, digest FROM kept").fetchall()
-            for name, value, told in rows:
-                if not isinstance(value, bytes) or digest(name, value) != told:
-                    return self.bad(f"row {name!r} is not as it was written")
-            found = {name: value for name, value, _ in rows}
-            if not found:
+            rows, fault = small(link)
+            if fault:
+                return self.bad(fault)
+            if not rows:
                 return Success(None)
-            state = CombState.FromString(found["state"])
-            if state.configuration_left_out:
-                state = changed(state)
-                state.configuration, state.configuration_left_out = found["configuration"], False
-                self.configuration = digest("configuration", found["configuration"])
-            return Success(Kept(int(found["promised"]), state))
-        except (sqlite3.Error, DecodeError, KeyError, ValueError) as error:
+            chunks = {}
+            for name, value in link.execute("SELECT name, value FROM chunk"):
+                if not sound(name, value):
+                    return self.bad(f"a chunk of the configuration is not as it was written: {text(name)}")
+                chunks[name] = value
+            manifest = rows.get(MANIFEST, b"")
+            kept = kept_of(rows, b"".join(chunks[name] for name in listed(manifest)))
+            self.know(kept, {n: check_of(n, v) for n, v in rows.items()}, manifest, set(chunks))
+            # Danger: an old promise must not vote again, and an old copy must not count as one.
+            self.floor = kept if IMPORTED in rows else None
+            return Success(None if self.floor else kept)
+        except (sqlite3.Error, DecodeError, KeyError, ValueError, TypeError) as error:
             return self.bad(f"{type(error).__name__} {error}")
 
     def bad(self, text: str) -> Result[Kept | None, Fault]:
         return Failure(Fault(Kind.BAD_STORE, f"{self.folder / NAME}: {text}"))
 
+    def know(self, kept: Kept, checks: dict[str, bytes], manifest: bytes, chunks: set[bytes]) -> None:
+        self.checks, self.chunks, self.body = checks, chunks, name_of(kept.state.configuration)
+        digests = digests_of(kept.state, listed(manifest))
+        self.copy = Copy(at(kept.state), digests, Tree.over(digests))
+
+    # -- writing -------------------------------------------------------------------------------
+
     def save(self, kept: Kept) -> Result[None, Fault]:
         """Synced on return.  After a failure the disk holds what it held, or this."""
         try:
             if self.broken or self.link is None:
                 self.link = self.begin_anew()
             self.write(self.link, kept)
+            self.floor = None
             return Success(None)
         except (OSError, sqlite3.Error) as error:
-            self.configuration = None
+            self.forget()
             if self.link is not None and self.link.in_transaction:
                 with contextlib.suppress(sqlite3.Error):
                     self.link.execute("ROLLBACK")
+            if isinstance(error, sqlite3.Error) and hurt(error):
+                self.broken = True
+            with contextlib.suppress(OSError):  # it may be what fills the disk
+                (self.folder / f"{NAME}.bad").unlink(missing_ok=True)
             return Failure(Fault(Kind.BAD_STORE, f"{self.folder / NAME}: {error}"))
 
-    def write(self, link: sqlite3.Connection, kept: Kept) -> None:
-        """The configuration's row only where it changed: a promise costs a page or two."""
-        head, body = changed(kept.state), kept.state.configuration
-        head.configuration, head.configuration_left_out = b"", True
-        rows = {"promised": b"%d" % kept.promised, "state": head.SerializeToString(), "configuration": body}
-        known = digest("configuration", body)
-        if known == self.configuration:
-            del rows["configuration"]
+    def write(self, link: sqlite3.Connection, kept: Kept, more: Iterable[str] = ()) -> None:
+        """Only what differs from what lies there: a promise costs a page or two, a route its chunk.
+
+        :param more: names of empty rows beside
+        """
+        rows, body = cells_of(kept)
+        rows |= dict.fromkeys(more, b"")
+        checks = {name: check_of(name, value) for name, value in rows.items()}
+        chunks, known = self.chunks, name_of(body)
         link.execute("BEGIN IMMEDIATE")
-        for name, value in rows.items():
-            link.execute("REPLACE INTO kept VALUES (?, ?, ?)", (name, value, digest(name, value)))
+        if known == self.body:
+            rows[MANIFEST] = b""  # as it lies there
+            checks[MANIFEST] = self.checks[MANIFEST]
+        else:
+            rows[MANIFEST], chunks = self.write_chunks(link, body)
+            checks[MANIFEST] = check_of(MANIFEST, rows[MANIFEST])
+        rows[SEAL] = seal_of(checks)
+        checks[SEAL] = check_of(SEAL, rows[SEAL])
+        if not self.checks:
+            link.execute("DELETE FROM kept")
+        for name, check in checks.items():
+            if check != self.checks.get(name):
+                link.execute("REPLACE INTO kept VALUES (?, ?, ?)", (name, rows[name], check))
+        link.executemany(
+            "DELETE FROM kept WHERE name = ?", [(n,) for n in self.checks.keys() - checks.keys()]
+        )
         link.execute("COMMIT")
-        self.configuration = known
+        if known == self.body and self.copy is not None:
+            manifest = b"".join(v for k, v in sorted(self.copy.digests.items()) if k.startswith("chunk/"))
+        else:
+            manifest = rows[MANIFEST]
+        self.know(kept, checks, manifest, chunks)
+
+    def write_chunks(self, link: sqlite3.Connection, body: bytes) -> tuple[bytes, set[bytes]]:
+        """The manifest, and the names of what is on disk with it.  What is gone goes first: its pages are
+        used again."""
+        pieces = split(body)
+        order = [name_of(piece) for piece in pieces]
+        named = dict(zip(order, pieces, strict=True))
+        if self.chunks:
+            link.executemany("DELETE FROM chunk WHERE name = ?", [(n,) for n in self.chunks - named.keys()])
+        else:
+            link.execute("DELETE FROM chunk")
+        new = [(name, piece) for name, piece in named.items() if name not in self.chunks]
+        link.executemany("INSERT INTO chunk VALUES (?, ?)", new)
+        ((free,),) = link.execute("PRAGMA freelist_count").fetchall()
+        for _ in range(free - SLACK_PAGES):
+            link.execute("PRAGMA incremental_vacuum(1)")  # Python takes one step of it, so one page each
+        return b"".join(order), set(named)
 
     def begin_anew(self) -> sqlite3.Connection:
         self.close()
-        path = self.folder / NAME
-        if path.exists():
-            path.replace(path.with_name(f"{NAME}.bad"))
+        put_aside(self.folder)
         create(self.folder)
-        self.broken, self.configuration = False, None
-        return connect(path)
+        self.broken = False
+        self.forget()
+        return connect(self.folder / NAME, self.most_bytes)
 
     def close(self) -> None:
         if self.link is not None:
             self.link.close()
             self.link = None
 
+    # -- looking after what lies there ---------------------------------------------------------
 
-def digest(name: str, value: bytes) -> bytes:
-    return blake3(name.encode() + b"\0" + value).digest(16)
-
-
-def strange(path: Path) -> str:
-    """Why a file is not ours to open; empty: it is, or there is none.  It is only read."""
-    if not path.exists():
-        return ""
-    with path.open("rb") as file:
-        header = file.read(HEADER_BYTES)
-    if len(header) < HEADER_BYTES or not header.startswith(HEADER):
-        return "is no store of this system"
-    version, application = (struct.unpack_from(">I", header, at)[0] for at in (FORMAT_AT, APPLICATION_AT))
-    if application != APPLICATION:
-        return "is a database of another program"
-    return f"format {version} is newer than {FORMAT}" if version > FORMAT else ""
-
-
-def create(folder: Path) -> None:
-    """An empty store, made beside its place and moved there whole: a loss of power leaves none, or a good
-    one."""
-    path, made = folder / NAME, folder / f"{NAME}.new"
-    # Danger: sqlite would take a log left by a file that is gone for this one's.
-    left = ("-wal", "-journal", ".new", ".new-wal", ".new-journal")
-    for old in (path.with_name(NAME + tail) for tail in left):
-        old.unlink(missing_ok=True)
-    link = sqlite3.connect(made, isolation_level=None)
-    settle(link, ["synchronous=OFF", f"application_id={APPLICATION}", f"user_version={FORMAT}"])
-    link.execute(TABLE)
-    settle(link, ["locking_mode=EXCLUSIVE", "journal_mode=WAL"])
-    link.close()
-    sync(made)
-    made.replace(path)
-    sync(folder)
-
-
-def connect(path: Path) -> sqlite3.Connection:
-    link = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=LOCKED_S)
-    # Exclusive before anything is read: sqlite then keeps the log's index in the process, and makes no file
-    # of it.
-    settle(link, ["locking_mode=EXCLUSIVE", "mmap_size=0", "journal_mode=WAL", "synchronous=FULL"])
-    settle(link, [f"wal_autocheckpoint={PAGES_LEFT}", f"journal_size_limit={LOG_BYTES}"])
-    link.execute("SELECT name FROM kept").fetchall()
-    return link
-
-
-def settle(link: sqlite3.Connection, pragmas: Iterable[str]) -> None:
-    for pragma in pragmas:
-        link.execute(f"PRAGMA {pragma}").fetchall()
-
-
-def sync(path: Path) -> None:
-    handle = os.open(path, os.O_RDONLY)
-    try:
-        os.fsync(handle)
-    finally:
-        os.close(handle)
+    def scan(self) -> Scanned:
+        """The next part of the rows on disk, held to their digests; the small ones with each part."""
+        if self.link is None or self.broken or self.copy is None:
+            return Scanned((), True, 0)
+        try:
+            rows, fault = small(self.link)
+            bad = [fault] if fault else []
+            held = {name: check_of(name, value) for name, value in rows.items()}
+            bad += [name for name, check in self.checks.items() if held.get(name) != check]
+            size, last = sum(map(len, rows.values())), b""
+            query = "SELECT name, value FROM chunk WHERE name > ? ORDER BY name"
+            for name, value in self.link.execute(query, (self.scanned,)):
+                last = name
+                size += len(value)
+                if not sound(name, value):
+                    bad.append(text(name))
+                if size >= SCAN_BYTES:
+                    break
+            else:
+                last = b""
+            if not last:
+                on_disk = {name for (name,) in self.link.execute("SELECT name FROM chunk")}
+                bad += [text(name) for name in self.chunks - on_disk]
+            self.scanned = last
+            return Scanned(tuple(bad[:8]), not last, size)
+        except sqlite3.Error as error:
+            self.broken = hurt(error)
+            return Scanned((f"{type(error).__name__} {error}",), True, 0)
+
+    def chunks_on_disk(self, names: Sequence[bytes]) -> dict[bytes, bytes]:
+        """Those of them that are there and sound."""
+        if self.link is None or self.broken:
+            return {}
+        found: dict[bytes, bytes] = {}
+        with contextlib.suppress(sqlite3.Error):
+            for name in names:
+                row = self.link.execute("SELECT value FROM chunk WHERE name = ?", (name,)).fetchone()
+                if row is not None and sound(name, row[0]):
+                    found[name] = row[0]
+        return found
+
+
+def small(link: sqlite3.Connection) -> tuple[dict[str, bytes], str]:
+    """The small rows but for the seal, and what is wrong with them."""
+    rows = {}
+    for name, value, told in link.execute("SELECT name, value, digest FROM kept"):
+        if not isinstance(value, bytes) or check_of(name, value) != told:
+            return {}, f"row {name!r} is not as it was written"
+        rows[name] = value
+    seal = rows.pop(SEAL, None)
+    if (rows or seal) and seal != seal_of({name: check_of(name, value) for name, value in rows.items()}):
+        return {}, "the rows are of more than one save"
+    return rows, ""
+
+
+def sound(name: object, value: object) -> bool:
+    return isinstance(name, bytes) and isinstance(value, bytes) and name_of(value) == name
+
+
+def text(name: object) -> str:
+    return f"chunk {name.hex() if isinstance(name, bytes) else name!r}"
+
+
+__all__ = ["FORMAT", "LOG_BYTES", "NAME", "Copy", "Scanned", "Store"]
--- a/vetchusher/emulator/comb_world.py
+++ b/vetchusher/emulator/comb_world.py
@@ -109,6 +109,7 @@
         self.events: Counter[str] = Counter()
         self.log: list[tuple[int, str, Note]] = []
         self.loss, self.late = scene.loss, scene.late
+        self.floors: dict[str, Kept] = {}  # what an import brought into an empty folder
         self.machines: dict[str, Machine] = {}
         for number, zone in enumerate(scene.zones):
             drawn = 1 + self.rng.choice((-1, 0, 1)) * scene.drift
@@ -146,6 +147,7 @@
             self.scene.timing,
             random.Random(self.rng.randrange(1 << 30)),
             machine.now(self.at),
+            self.floors.get(ip),
         )
         life = machine.life
         self.after(self.rng.randrange(TICK), lambda: self.tick(machine, life))
--- a/vetchusher/hive/cli.py
+++ b/vetchusher/hive/cli.py
@@ -5,12 +5,9 @@
 
 from __future__ import annotations
 
-import json
 import os
 import pathlib
-import shutil
 import sys
-import tempfile
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -64,13 +61,34 @@
         Args:
             folder: the data_directory of a process that does not run now
         """
-        return Todo(lambda: report([inspected(str(folder))]))
+        return Todo(lambda: report([folders().inspected(str(folder))]))
+
+    def export(self, folder: str, file: str) -> Todo:
+        """Write what a data folder holds into one new file, from which `import` makes a folder.
+
+        Args:
+            folder: the data_directory of a process that does not run now; it is not changed
+            file: a file that does not exist yet
+        """
+        return Todo(lambda: report([folders().exported(str(folder), str(file))]))
+
+    def _import(self, file: str, folder: str) -> Todo:
+        """Make a data folder of an exported file, for a machine that has forgotten what it promised.
+
+        Args:
+            file: what `export` wrote; one in which any byte is wrong is turned down
+            folder: an empty or absent one
+        """
+        return Todo(lambda: report([folders().imported(str(file), str(folder))]))
 
     def version(self) -> Todo:
         """Print the version."""
         return Todo(lambda: report([Success(f"vetchusher {__version__}")]))
 
 
+setattr(Commands, "import", Commands._import)  # no name that a method could be given
+
+
 def main(argv: Sequence[str]) -> int:
     found = fire.Fire(
         Commands,
@@ -81,8 +99,19 @@
     return found._do() if isinstance(found, Todo) else 0
 
 
+def folders() -> Any:
+    """What looks into stores; not loaded for anything else."""
+    from . import folders
+
+    return folders
+
+
 def check(settings: str, configuration: str, data: str) -> int:
-    asked = ((settings, checked_settings), (configuration, checked_configuration), (data, checked_data))
+    asked = (
+        (settings, checked_settings),
+        (configuration, checked_configuration),
+        (data, lambda folder: folders().checked(folder)),
+    )
     lines = [look(path) for path, look in asked if path]
     return report(lines or [bad("nothing to check: give --settings, --configuration or --data")])
 
@@ -129,59 +158,3 @@
         )
         .alt(lambda fault: Fault(fault.kind, f"{path}: {fault.text}"))
     )
-
-
-def checked_data(folder: str) -> Result[str, Fault]:
-    return kept_in(folder).map(
-        lambda kept: f"{folder}: nothing yet" if kept is None else f"{folder}: {json.dumps(shown(kept))}"
-    )
-
-
-def inspected(folder: str) -> Result[str, Fault]:
-    return kept_in(folder).map(lambda kept: json.dumps(None if kept is None else shown(kept), indent=2))
-
-
-def kept_in(folder: str) -> Result[Any, Fault]:
-    """What a store holds: `comb`'s `Kept`, or None where it is empty.
-
-    Read from a copy: opening a store mends it and makes files beside it.
-    """
-    from vetchusher import comb
-
-    try:
-        if not any(pathlib.Path(folder).iterdir()):
-            return Success(None)
-        with tempfile.TemporaryDirectory() as place:
-            copy = shutil.copytree(folder, pathlib.Path(place) / "copy")
-            store: Any = comb.Store  # type: ignore[attr-defined, unused-ignore]
-            opened: Result[Any, Fault] = store.open(str(copy))
-            return opened.bind(loaded).alt(lambda f: Fault(f.kind, f"{folder}: {f.text}"))
-    except (OSError, shutil.Error) as err:
-        return bad(f"{folder}: {getattr(err, 'strerror', None) or err}", Kind.BAD_STORE)
-
-
-def loaded(store: Any) -> Result[Any, Fault]:
-    try:
-        found: Result[Any, Fault] = store.load()
-        return found
-    finally:
-        if hasattr(store, "close"):
-            store.close()
-
-
-def shown(kept: Any) -> dict[str, Any]:
-    """What people want to know of a store, of those things that it has."""
-    from vetchusher.waggle.rows import digest
-
-    state = getattr(kept, "state", None)
-    found = {"promised": getattr(kept, "promised", None), "forgetful": getattr(kept, "forgetful", None)}
-    if state is not None:
-        found |= {
-            "stamp": f"{state.stamp.epoch}.{state.stamp.seq}",
-            "version": f"r{state.version}" if state.version else None,
-            "bytes": len(state.configuration),
-            "digest": digest(state.configuration) if state.configuration else None,
-            "evacuations": {e.zone: f"{'on' if e.on else 'off'}, order {e.order}" for e in state.evacuations},
-            "members": list(state.members),
-        }
-    return {name: value for name, value in found.items() if value is not None}
--- /dev/null
+++ b/vetchusher/hive/folders.py
@@ -0,0 +1,127 @@
+"""What the command line does with data folders: they are read from a copy, and never changed.
+
+Opening a store mends it and makes files beside it; an import makes a new folder.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import shutil
+import tempfile
+import time
+from collections.abc import Callable
+from typing import Any, TypeAlias, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from vetchusher.comb import Kept, Store, archive
+from vetchusher.comb.digests import FAN
+from vetchusher.comb.file import NAME, format_told
+from vetchusher.comb.floor import floor_of
+from vetchusher.kinds import Fault, Kind
+from vetchusher.settings.configuration import read_configuration
+from vetchusher.waggle.rows import digest
+
+Found = TypeVar("Found")
+Look: TypeAlias = Callable[[Store | None, Kept | None, dict[str, int]], Found]
+
+
+def checked(folder: str) -> Result[str, Fault]:
+    return looked_at(folder, told).map(
+        lambda found: f"{folder}: {json.dumps(found) if found else 'nothing yet'}"
+    )
+
+
+def inspected(folder: str) -> Result[str, Fault]:
+    return looked_at(folder, told).map(lambda found: json.dumps(found, indent=2))
+
+
+def exported(folder: str, file: str) -> Result[str, Fault]:
+    path = pathlib.Path(file)
+    kept = looked_at(folder, lambda store, kept, files: kept or (store.floor if store else None))
+    if isinstance(kept, Failure):
+        return kept
+    found = kept.unwrap()
+    if found is None:
+        return Failure(Fault(Kind.BAD_STORE, f"{folder}: nothing yet"))
+    state = found.state
+    return named(file, archive.write_file(path, found)).map(
+        lambda _: (
+            f"{file}: r{state.version} at {state.stamp.epoch}.{state.stamp.seq}, {path.stat().st_size} bytes"
+        )
+    )
+
+
+def imported(file: str, folder: str) -> Result[str, Fault]:
+    kept = named(file, archive.read_file(pathlib.Path(file)).bind(readable))
+    if isinstance(kept, Failure):
+        return kept
+    floor = floor_of(kept.unwrap(), int(time.time()))
+    return named(folder, archive.bring_in(pathlib.Path(folder), floor)).map(
+        lambda _: f"{folder}: r{floor.state.version} as a floor, epochs from {floor.promised}"
+    )
+
+
+def readable(kept: Kept) -> Result[Kept, Fault]:
+    """Danger: a core that begins from a configuration that it cannot read serves nobody."""
+    if not kept.state.version:
+        return Success(kept)
+    return read_configuration(kept.state.configuration).map(lambda _: kept)
+
+
+def named(path: str, outcome: Result[Found, Fault]) -> Result[Found, Fault]:
+    return outcome.alt(lambda fault: Fault(fault.kind, f"{path}: {fault.text}"))
+
+
+def looked_at(folder: str, look: Look[Found]) -> Result[Found, Fault]:
+    """:param look: takes the opened store and what it holds (None: nothing), and what lies in the folder"""
+    try:
+        if not any(pathlib.Path(folder).iterdir()):
+            return Success(look(None, None, {}))
+        if not (pathlib.Path(folder) / NAME).exists():
+            return Failure(Fault(Kind.BAD_STORE, f"{folder}: there is no {NAME} in it"))
+        with tempfile.TemporaryDirectory() as place:
+            copy = shutil.copytree(folder, pathlib.Path(place) / "copy")
+            files = {each.name: each.stat().st_size for each in copy.iterdir()}
+            files["format"] = format_told(copy / NAME)
+            return named(folder, Store.open(str(copy)).bind(lambda store: loaded(store, look, files)))
+    except (OSError, shutil.Error) as err:
+        return Failure(Fault(Kind.BAD_STORE, f"{folder}: {getattr(err, 'strerror', None) or err}"))
+
+
+def loaded(store: Store, look: Look[Found], files: dict[str, int]) -> Result[Found, Fault]:
+    try:
+        return store.load().map(lambda kept: look(store, kept, files))
+    finally:
+        store.close()
+
+
+def told(store: Store | None, kept: Kept | None, files: dict[str, int]) -> dict[str, Any] | None:
+    """What people want to know of a folder."""
+    held = kept or (store.floor if store is not None else None)
+    if store is None or held is None:
+        return None
+    state = held.state
+    return {
+        "format": files.pop("format"),
+        "imported": kept is None,
+        "promised": held.promised,
+        "stamp": f"{state.stamp.epoch}.{state.stamp.seq}",
+        "version": f"r{state.version}" if state.version else None,
+        "bytes": len(state.configuration),
+        "digest": digest(state.configuration) if state.configuration else None,
+        "evacuations": {e.zone: f"{'on' if e.on else 'off'}, order {e.order}" for e in state.evacuations},
+        "members": list(state.members),
+        "chunks": len(store.chunks),
+        "ranges": ranges(store),
+        "files": files,
+    }
+
+
+def ranges(store: Store) -> dict[str, str]:
+    """Digests of the whole copy and of its sixteen ranges."""
+    if store.copy is None:
+        return {}
+    nodes = store.copy.tree.levels[1]
+    return {"all": store.copy.tree.root.hex()} | {f"{n:x}": nodes[n].hex() for n in range(FAN)}
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -53,7 +53,7 @@
         self.loop, self.node, self.paths, self.now, self.note = loop, node, paths, now, note
         seeds = [host for host, _ in node.seed_nodes]
         self.member = Member(
-            node.ip_address, node.zone, seeds, node.first_start, kept, comb.Timing(), rng, now()
+            node.ip_address, node.zone, seeds, node.first_start, kept, comb.Timing(), rng, now(), store.floor
         )
         self.saving = Saving(loop, store, self.saved, note)
         self.reading = Reading(loop)
--- a/vetchusher/hive/process.py
+++ b/vetchusher/hive/process.py
@@ -101,7 +101,7 @@
         from .orders import ControlDoor, DirectoryDoor
 
         node = self.node
-        opened = Store.open(node.data_directory)
+        opened = Store.open(node.data_directory, node.limits.disk_mb)
         if isinstance(opened, Failure):
             return str(opened.failure().text)
         store = opened.unwrap()
@@ -114,7 +114,7 @@
                 # What cannot be read whole is forgotten: this machine votes for nothing until it has learnt.
                 self.note(Note(Event.STORE_FAILED, {"why": fault.text}))
                 first_start = False
-        if not first_start:
+        if not first_start or store.floor is not None:
             node = replace(node, first_start=False)
         shelf = Shelf.open(node.data_directory)
         if isinstance(shelf, Failure):
