--- a/tests/test_system_settings.py
+++ b/tests/test_system_settings.py
@@ -375,7 +375,7 @@
             self.addCleanup(one.close)
             found = await asyncio.gather(*(one.read(raw) for _ in range(reading.MOST_WAITING + 1)))
             bad = await one.read(b"{}")
-            return found, bad, one.known(raw).unwrap() is found[-2].unwrap(), one.waiting
+            return found, bad, one.known(raw).unwrap().configuration is found[-2].unwrap(), one.waiting
 
         found, bad, known, waiting = asyncio.run(many())
         self.assertThat([is_successful(each) for each in found], Equals([True] * 8 + [False]))
--- a/vetchusher/emulator/apiary.py
+++ b/vetchusher/emulator/apiary.py
@@ -211,7 +211,7 @@
         environment = os.environ | {"VETCHUSHER_CONFIG": str(machine.settings)}
         with open(machine.folder / "log", "ab") as log:
             machine.process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "vetchusher.hive", "run"),
+                *self.command(machine),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -219,6 +219,10 @@
                 cwd=ROOT,
             )
 
+    def command(self, machine: Machine) -> Sequence[str]:
+        """The program of a machine; measurements run their own round the same parts."""
+        return sys.executable, "-m", "vetchusher.hive", "run"
+
     def settings_of(self, machine: Machine) -> dict[str, Any]:
         listen = (
             {"control": machine.at(CONTROL), "directory": machine.at(DIRECTORY)}
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -4,26 +4,29 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
-from returns.result import Success
+from returns.result import Result, Success
 
 from vetchusher.entrance.neighbours import neighbours, places_of
 from vetchusher.entrance.presence import KEPT_TIMES, TTL_S
 from vetchusher.events import Event, Note
+from vetchusher.kinds import Fault
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.tries import ExtraTries
 from vetchusher.scouts.reader import read_row
 from vetchusher.scouts.server import Server
+from vetchusher.settings.configuration import Configuration
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
 from vetchusher.waggle.ledger import Ledger, news_for, vector_of
-from vetchusher.waggle.rows import configuration_of, evacuated_of
+from vetchusher.waggle.rows import DIGEST, configuration_of, evacuated_of
 
 from .following import Following
 from .front import Front, Readiness
 from .paths import Channel, Paths
+from .reading import LOOP_BYTES, Reading
 
 TICK_S = 0.05
 SYNC_S = 0.15  # between two pushes of what has passed
@@ -55,6 +58,10 @@
         self.readiness = Readiness(loop, self.ready)
         self.known: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
         self.version = 0
+        self.digest: bytes | None = b""  # row of the configuration in force
+        self.reading = Reading(loop)
+        self.rows: dict[str, bytes] | None = None  # of the newest news, while they wait to be read
+        self.reader: asyncio.Task[None] | None = None
         self.leaving = False
         self.left_at = 0.0
         self.pushes: set[asyncio.Task[None]] = set()
@@ -103,16 +110,44 @@
             self.follower.watch(neighbours(self.node.node_name, self.node.region, places))
         if "scouts" in changed:
             self.servers_came(now)
-        self.front.fresh(self.follower.fresh(now))
+        self.look_fresh(now)
         if self.ready() and not was_ready:
             self.carry_sends(self.follower.beat_now(now))
 
     def configuration_came(self, now: int) -> None:
         rows = self.comb.values()
         self.front.evacuated(evacuated_of(rows), now)
-        match configuration_of(rows):
+        if self.reader is None and rows.get(DIGEST) == self.digest:
+            return  # an evacuation; the configuration is the one in force
+        if self.reader is None and sum(map(len, rows.values())) <= LOOP_BYTES:
+            self.take(rows, configuration_of(rows))
+            return
+        self.rows = rows
+        if self.reader is None:
+            self.reader = self.loop.create_task(self.read_rows())
+
+    async def read_rows(self) -> None:
+        """Off the loop, of several the newest; requests are judged by the one before until then."""
+        try:
+            while self.rows is not None:
+                rows, self.rows = self.rows, None
+                found, was_ready = await self.reading.read_rows(rows), self.ready()
+                self.take(rows, found)
+                if self.ready() and not was_ready:
+                    self.carry_sends(self.follower.beat_now(self.now()))
+        finally:
+            self.reader = None
+            self.look_fresh(self.now())
+
+    def look_fresh(self, now: int) -> None:
+        """Danger: rows that are here and not read yet make nothing fresh."""
+        self.front.fresh(self.reader is None and self.follower.fresh(now))
+
+    def take(self, rows: Mapping[str, bytes], found: Result[Configuration, Fault]) -> None:
+        now = self.now()
+        match found:
             case Success(configuration) if configuration.version > self.version:
-                self.version = configuration.version
+                self.version, self.digest = configuration.version, rows.get(DIGEST)
                 self.front.configuration(configuration)
                 self.tally.configure(now, configuration.tenants)
             case Success():
@@ -146,7 +181,7 @@
     def tick(self) -> None:
         now = self.now()
         self.carry_sends(self.follower.tick(now))
-        self.front.fresh(self.follower.fresh(now))
+        self.look_fresh(now)
         if self.loop.time() - self.pushed_at >= SYNC_S and len(self.pushes) < MOST_PUSHES:
             self.pushed_at = self.loop.time()
             primary, push = self.follower.primary(now), self.tally.push(now)
@@ -188,3 +223,6 @@
         await self.front.close(int(deadline_s * 1e6))
         await self.readiness.close()
         await self.following.close()
+        if self.reader is not None:
+            self.reader.cancel()
+        self.reading.close()
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -19,16 +19,18 @@
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
-from vetchusher.waggle.ledger import NEVER, Ledger, news_for, vector_of
-from vetchusher.waggle.rows import rows_of
+from vetchusher.waggle.ledger import NEVER, Ledger, vector_of
+from vetchusher.waggle.rows import evacuation_rows
 from vetchusher.waggle.shelf import Shelf, whole
 
 from . import orders
+from .applying import Applying
 from .following import Following
 from .paths import Channel, Paths
 from .platform import Platform
-from .reading import Reading
+from .reading import Read, Reading
 from .saving import Saving
+from .telling import Telling
 
 TICK_S = 0.05
 READ_PAUSE_S = 0.6  # between two whole reads of the list
@@ -62,8 +64,9 @@
         self.sources = {led.source: led for led in (self.comb, self.scouts, self.entrance)}
         pulled = {led.source: led for led in (self.scouts, self.entrance)}
         self.follower = Follower(seeds, pulled, node.ip_address)
+        self.telling = Telling(self.sources)
+        self.applying = Applying(loop, self.reading, self.tell_state, note)
         self.configuration: Configuration | None = None
-        self.configuration_raw = b""
         self.watchers: dict[str, Channel] = {}  # by ip: to whom a grown vector is told unasked
         self.orders: dict[int, asyncio.Future[Result[bytes, Fault]]] = {}
         self.next_order = 1
@@ -98,26 +101,19 @@
                 if future is not None and not future.done():
                     future.set_result(outcome)
             case comb.Committed(state):
-                self.committed(state)
+                self.applying.committed(state)
             case Note():
                 self.note(output)
 
     def saved(self, token: int, good: bool) -> None:
         self.feed(comb.Saved(token, good))
 
-    def committed(self, state: wire.CombState) -> None:
-        """Tell what has become part of the state: rows of the configuration, and zones evacuated."""
-        if state.version and state.configuration != self.configuration_raw:
-            match self.reading.known(state.configuration):
-                case Success(configuration):
-                    self.configuration, self.configuration_raw = configuration, state.configuration
-                case Failure(fault):  # it was checked before it was stored: this program is older
-                    self.note(Note(Event.NEWS_UNUSABLE, {"why": fault.text}))
-                    return
+    def tell_state(self, state: wire.CombState, read: Read | None) -> None:
+        """What has become part of the state: rows of the configuration, and zones evacuated."""
         rows: dict[str, bytes] = {}
-        if self.configuration is not None:
-            evacuated = {one.zone: one.on for one in state.evacuations}
-            rows = rows_of(self.configuration, self.configuration_raw, evacuated)
+        if read is not None:
+            self.configuration = read.configuration
+            rows = {**read.rows, **evacuation_rows({one.zone: one.on for one in state.evacuations})}
         if self.comb.publish((state.stamp.epoch, state.stamp.seq), rows):
             if self.holder is not None and self.configuration is not None:
                 self.holder.configure(self.now(), self.configuration.tenants)
@@ -134,12 +130,10 @@
                 self.note(note)
             if frame.beat.ip in self.watchers or len(self.watchers) < MOST_WATCHERS:
                 self.watchers[frame.beat.ip] = channel
-            heard = self.heard()
-            if frame.beat.wants_news:
-                heard.news.CopyFrom(news_for(self.sources, frame.beat.vector))
-            channel.reply(frame, wire.Frame(beat_heard=heard))
+            news = self.telling.news(frame.beat.vector, with_beat=True) if frame.beat.wants_news else b""
+            channel.reply(frame, wire.Frame(beat_heard=self.heard()), news)
         elif kind == "pull":
-            channel.reply(frame, wire.Frame(news=news_for(self.sources, frame.pull.vector)))
+            channel.reply(frame, wire.Frame(), self.telling.news(frame.pull.vector))
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
@@ -155,7 +149,8 @@
             vector=vector_of(self.sources),
             members=self.member.members,
             primary=self.member.primary,
-            in_force=self.member.in_force(now),
+            # Danger: what is committed and not told yet would be taken for old.
+            in_force=self.member.in_force(now) and not self.applying.behind,
         )
 
     def tell_watchers(self) -> None:
@@ -375,5 +370,6 @@
         if self.duty is not None:
             self.duty.cancel()
         await self.platform.close()
+        self.applying.close()
         self.saving.close()
         self.reading.close()
--- a/vetchusher/hive/paths.py
+++ b/vetchusher/hive/paths.py
@@ -77,20 +77,21 @@
                 return
             self.paths.received(frame, self)
 
-    def write(self, frame: wire.Frame) -> bool:
+    def write(self, frame: wire.Frame, more: bytes = b"") -> bool:
+        """:param more: bytes of a frame that go into the same one"""
         if self.transport is None or self.transport.is_closing():
             return False
         if self.transport.get_write_buffer_size() > MOST_WAITING:
             return False
-        raw = frame.SerializeToString()
+        raw = frame.SerializeToString() + more
         self.paths.bytes_out += len(raw) + 4
         self.transport.write(len(raw).to_bytes(4, "big") + raw)
         return True
 
-    def reply(self, asked: wire.Frame, answer: wire.Frame) -> None:
+    def reply(self, asked: wire.Frame, answer: wire.Frame, more: bytes = b"") -> None:
         answer.call, answer.reply = asked.call, True
         self.paths.sign(answer)
-        self.write(answer)
+        self.write(answer, more)
 
     def drop(self) -> None:
         if self.transport is not None:
--- a/vetchusher/hive/reading.py
+++ b/vetchusher/hive/reading.py
@@ -1,31 +1,55 @@
 """Reads configurations in a thread: one of thousands of routes takes longer than the loop may stop.
 
 Weighed: reading it in pieces on the loop. The parser of JSON and the compiled schema take a whole; cutting
-both would be to read by hand again. A thread gives the loop its turn every 5 ms, the switch interval.
+both would be to read by hand again. A thread gives the loop its turn at each switch interval.
 """
 
 from __future__ import annotations
 
 import asyncio
 import gc
+import sys
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any, TypeVar
 
 from returns.result import Failure, Result, Success
 
 from vetchusher.kinds import Fault, Kind
 from vetchusher.settings.configuration import Configuration, read_configuration
+from vetchusher.waggle.rows import configuration_of, rows_of
 
+T = TypeVar("T")
 MOST_WAITING = 8  # configurations that are read or wait for it
 BACK_US = 500_000  # told to whoever comes then
+LOOP_BYTES = 32_768  # what the loop itself reads: a few ms, less than a thread's start on a slow machine
+SWITCH_S = 0.001  # that the loop waits for its turn while the thread reads; each event may wait so long
 
 
-def uncollected(raw: bytes) -> Result[Configuration, Fault]:
+@dataclass(slots=True, frozen=True)
+class Read:
+    """:param rows: the configuration's, as they are told"""
+
+    raw: bytes
+    configuration: Configuration
+    rows: Mapping[str, bytes]
+
+
+def read_whole(raw: bytes) -> Result[Read, Fault]:
+    return read_configuration(raw).map(lambda found: Read(raw, found, rows_of(found, raw, {})))
+
+
+def uncollected(work: Callable[[Any], T], what: Any) -> T:
     """Danger: so many new objects make Python look through all that the process holds, 15 to 40 ms in one go.
     Nothing read here needs it: no part refers back to its whole."""
+    before = sys.getswitchinterval()
     gc.disable()
+    sys.setswitchinterval(SWITCH_S)
     try:
-        return read_configuration(raw)
+        return work(what)
     finally:
+        sys.setswitchinterval(before)
         gc.enable()
 
 
@@ -39,23 +63,35 @@
         self.loop = loop
         self.thread = ThreadPoolExecutor(1, "reading")
         self.waiting = 0
-        self.last: tuple[bytes, Configuration] | None = None
+        self.last: Read | None = None
 
     async def read(self, raw: bytes) -> Result[Configuration, Fault]:
+        return (await self.read_whole(raw)).map(lambda read: read.configuration)
+
+    async def read_whole(self, raw: bytes) -> Result[Read, Fault]:
+        found = await self.turn(read_whole, raw)
+        if isinstance(found, Success):
+            self.last = found.unwrap()
+        return found
+
+    async def read_rows(self, rows: Mapping[str, bytes]) -> Result[Configuration, Fault]:
+        """The configuration of whole rows of news."""
+        return await self.turn(configuration_of, rows)
+
+    async def turn(self, work: Callable[[Any], Result[T, Fault]], what: Any) -> Result[T, Fault]:
         if self.waiting >= MOST_WAITING:
             return Failure(Fault(Kind.NOT_SETTLED, "too many configurations at once", BACK_US))
         self.waiting += 1
         try:
-            found = await self.loop.run_in_executor(self.thread, uncollected, raw)
+            return await self.loop.run_in_executor(self.thread, uncollected, work, what)
         finally:
             self.waiting -= 1
-        if isinstance(found, Success):
-            self.last = (raw, found.unwrap())
-        return found
 
-    def known(self, raw: bytes) -> Result[Configuration, Fault]:
-        """The same at once, on the loop, for one that has been checked before."""
-        return Success(self.last[1]) if self.last and self.last[0] == raw else read_configuration(raw)
+    def known(self, raw: bytes) -> Result[Read, Fault] | None:
+        """The same at once, on the loop, of what has been read already or is soon read; else None."""
+        if self.last is not None and self.last.raw == raw:
+            return Success(self.last)
+        return read_whole(raw) if len(raw) <= LOOP_BYTES else None
 
     def close(self) -> None:
         self.thread.shutdown(wait=False, cancel_futures=True)
