Compare copies of the control state by digests over ranges, and mend them

Cause: a row that rots on a disk of a running process was found at its next start at the earliest, and a copy that is another under its stamp never.

A backup asks its primary once a minute for digests, 150 bytes there and back; where they differ, the leaves that differ are taken from the copy that is committed. A copy of another stamp is left to the ordinary write. Events 220 to 223.

Guards taken out: checksums skipped, missing rows, another stamp, not committed: each found by a story.

--- /dev/null
+++ b/tests/test_repair.py
@@ -0,0 +1,251 @@
+"""Copies compared and mended: real stores, letters by hand, and what goes wrong drawn as text."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import re
+import shutil
+import tempfile
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from unittest import mock
+
+import testtools
+from returns.result import Success
+
+from vetchusher.comb import Heard, Kept, Replace, Store, Tell, archive, repair, store
+from vetchusher.comb.repair import Fetch, Fetched, Look, Mend, Pace, Repair, Rewrite, Scan
+from vetchusher.comb.state import at, changed, first_state, ordered
+from vetchusher.emulator.tier_world import SECOND
+from vetchusher.events import Note
+from vetchusher.waggle.wire_pb2 import CombState
+
+MACHINES = "123"  # 1 is the primary
+BODY = b",".join(b'{"host":"h%d.example","path":"/%d/","service":"a"}' % (n, n * n) for n in range(1500))
+
+
+class Copies:
+    """Three machines without their votes: each has a store and its `Repair`, and the process's own copy.
+
+    A story has a line a moment: the second, then for each machine what happens to it.  `holds E.S TEXT`: it
+    saves a copy of that stamp, TEXT at its body's end; `rot`: a chunk on its disk is spoilt; `lost`: one is
+    gone; `shows TEXT`: what its disk holds ends so, and is sound.
+    """
+
+    def __init__(self, folder: Path, committed: bool = True) -> None:
+        self.now, self.committed = 0, committed
+        self.stores = {ip: Store.open(str(folder / ip)).unwrap() for ip in MACHINES}
+        self.repairs = {ip: Repair(ip, Pace(), random.Random(int(ip)), 0) for ip in MACHINES}
+        self.memory: dict[str, Kept] = {}
+        self.notes: list[tuple[str, str]] = []
+        self.letters: Counter[str] = Counter()
+        self.bytes = 0
+        self.wrong: list[str] = []
+
+    def play(self, story: str) -> list[str]:
+        for line in story.strip().splitlines()[1:]:
+            second, *cells = (cell.strip() for cell in line.split("|"))
+            while self.now < int(second) * SECOND:
+                self.now += SECOND // 4
+                for ip in MACHINES:
+                    self.look(ip)
+            for ip, cell in zip(MACHINES, cells, strict=True):
+                for word in filter(None, cell.split(", ")):
+                    self.do(ip, word)
+        return self.wrong
+
+    def do(self, ip: str, word: str) -> None:
+        own = self.stores[ip]
+        if found := re.fullmatch(r"holds (\d+)\.(\d+) (\w+)", word):
+            stamped = int(found[1]), int(found[2])
+            body = BODY + found[3].encode()
+            state = changed(ordered(first_state(MACHINES), Replace(stamped[1], body)).unwrap(), stamped)
+            self.memory[ip] = Kept(stamped[0], state)
+            own.save(self.memory[ip])
+        elif word == "rot":
+            assert own.link is not None
+            own.link.execute("UPDATE chunk SET value = x'00' WHERE name = (SELECT max(name) FROM chunk)")
+        elif word == "lost":
+            assert own.link is not None
+            own.link.execute("DELETE FROM chunk WHERE name = (SELECT min(name) FROM chunk)")
+        else:
+            text = word.removeprefix("shows ").encode()
+            held = own.read(own.link) if own.link is not None else None
+            if not isinstance(held, Success):
+                self.wrong.append(f"{ip}: {held}")
+            elif held.unwrap().state.configuration != BODY + text:
+                self.wrong.append(f"{ip} does not show {text!r}")
+
+    def look(self, ip: str) -> None:
+        newest = at(self.memory["1"].state) if self.committed else (0, 0)
+        self.give(ip, Look("1", ip == "1", newest, self.stores[ip].copy))
+
+    def give(self, ip: str, event: repair.Input) -> None:
+        for out in self.repairs[ip].handle(self.now, event):
+            match out:
+                case Note():
+                    self.notes.append((ip, out.event.name))
+                case Tell(to, letter):
+                    self.letters[str(letter.WhichOneof("kind"))] += 1
+                    self.bytes += letter.ByteSize()
+                    self.look(to)
+                    self.give(to, Heard(ip, "", letter))
+                case Scan():
+                    self.give(ip, self.stores[ip].scan())
+                case Fetch():
+                    self.give(ip, Fetched(out, self.stores[ip].rows(out.at, out.leaves)))
+                case Rewrite():
+                    self.stores[ip].forget()
+                    self.stores[ip].save(self.memory[ip])
+                case Mend():
+                    state = self.stores[ip].mended(out.at, out.leaves, out.rows, out.root)
+                    if state is not None and at(self.memory[ip].state) == out.at:
+                        self.memory[ip] = Kept(self.memory[ip].promised, state)
+                        self.stores[ip].save(self.memory[ip])
+
+
+STORIES = {
+    "a row rots": """
+        s   | 1           | 2           | 3
+        0   | holds 3.7 x | holds 3.7 x | holds 3.7 x
+        10  |             | rot         |
+        140 | shows x     | shows x     | shows x
+        """,
+    "the primary's rots": """
+        s   | 1           | 2           | 3
+        0   | holds 3.7 x | holds 3.7 x | holds 3.7 x
+        10  | rot         |             |
+        140 | shows x     | shows x     | shows x
+        """,
+    "a row is gone": """
+        s   | 1           | 2           | 3
+        0   | holds 3.7 x | holds 3.7 x | holds 3.7 x
+        10  |             |             | lost
+        140 | shows x     | shows x     | shows x
+        """,
+    "one copy is another": """
+        s   | 1           | 2           | 3
+        0   | holds 3.7 x | holds 3.7 y | holds 3.7 x
+        70  | shows x     | shows x     | shows x
+        """,
+    "one is newer than the primary's": """
+        s   | 1           | 2           | 3
+        0   | holds 3.7 x | holds 3.8 y | holds 3.7 x
+        140 | shows x     | shows y     | shows x
+        """,
+    "one is older": """
+        s   | 1           | 2           | 3
+        0   | holds 3.8 x | holds 3.7 y | holds 3.8 x
+        140 | shows x     | shows y     | shows x
+        145 |             | holds 3.8 x |
+        150 | shows x     | shows x     | shows x
+        """,
+}
+# Each guard taken out, and the story that finds it.
+FOUND_BY = {
+    "checksums skipped": "a row rots",
+    "missing rows do not matter": "a row is gone",
+    "a copy of another stamp is taken": "one is newer than the primary's",
+    "what is not committed is right": "nothing is committed",
+}
+
+
+@contextlib.contextmanager
+def planted(fault: str) -> Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        if fault == "checksums skipped":
+            stack.enter_context(mock.patch.object(store, "sound", lambda name, value: True))
+        elif fault == "missing rows do not matter":
+            scan = Store.scan
+
+            def looked(self: Store) -> store.Scanned:
+                found = scan(self)
+                return store.Scanned((), found.whole, found.size)
+
+            stack.enter_context(mock.patch.object(Store, "scan", looked))
+        elif fault == "what is not committed is right":
+            stack.enter_context(mock.patch.object(Repair, "right", lambda self, answer: answer.sound))
+        else:
+            rows = Store.rows
+
+            def any_rows(self: Store, stamp: object, leaves: tuple[int, ...]) -> dict[str, bytes] | None:
+                return rows(self, self.copy.stamp, leaves) if self.copy is not None else None
+
+            def under_way(self: Repair, sender: str, number: int, at: object) -> object:
+                own, copy = self.round, self.look.copy
+                return (
+                    (own, copy) if own is not None and (sender, number) == (own.other, own.number) else None
+                )
+
+            def answer(self: Repair, sender: str, asked: repair.Compare) -> Tell:
+                assert self.look.copy is not None
+                asked.stamp.CopyFrom(repair.stamp(self.look.copy.stamp))
+                return answered(self, sender, asked)
+
+            answered = Repair.answer
+            for owner, name, what in (
+                (Store, "rows", any_rows),
+                (Repair, "under_way", under_way),
+                (Repair, "answer", answer),
+            ):
+                stack.enter_context(mock.patch.object(owner, name, what))
+        yield
+
+
+class Mending(testtools.TestCase):
+    def play(self, name: str) -> Copies:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        copies = Copies(folder, committed=name != "nothing is committed")
+        story = STORIES.get(name, STORIES["one copy is another"])
+        if name == "nothing is committed":
+            story = story.replace("70  | shows x     | shows x", "70  | shows x     | shows y")
+        copies.play(story)
+        for each in copies.stores.values():
+            each.close()
+        return copies
+
+    def test_every_story_ends_as_told(self) -> None:
+        for name in (*STORIES, "nothing is committed"):
+            self.assertEqual((name, []), (name, self.play(name).wrong))
+
+    def test_every_guard_taken_out_is_found(self) -> None:
+        for fault, name in FOUND_BY.items():
+            with planted(fault):
+                self.assertTrue(self.play(name).wrong, f"{fault}: not found by {name}")
+
+    def test_a_spoilt_row_is_noted_written_again_and_never_told(self) -> None:
+        copies = self.play("the primary's rots")
+        self.assertEqual([("1", "ROWS_SPOILT"), ("1", "ROWS_MENDED")], copies.notes)
+        self.assertEqual(0, copies.letters["rows_told"])
+
+    def test_only_the_leaves_that_differ_are_told_and_a_calm_minute_costs_little(self) -> None:
+        copies = self.play("one copy is another")
+        self.assertIn(("2", "COPIES_DIFFER"), copies.notes)
+        self.assertThat(copies.bytes, testtools.matchers.LessThan(len(BODY) // 4))
+        calm = self.play("one is older")
+        self.assertThat(calm.bytes, testtools.matchers.LessThan(2 * 150 * 3))
+
+    def test_rows_of_one_that_is_spoilt_are_not_taken(self) -> None:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        copies = Copies(folder)
+        copies.do("1", "holds 3.7 x")
+        copies.do("2", "holds 3.7 y")
+        copies.do("1", "rot")
+        self.assertIsNone(copies.stores["1"].rows((3, 7), range(256)))
+        rows = copies.stores["2"].rows((3, 7), range(256))
+        assert rows is not None and copies.stores["1"].copy is not None
+        root = copies.stores["1"].copy.tree.root
+        self.assertIsNone(copies.stores["2"].mended((3, 7), range(256), rows, root))
+
+    def test_an_import_without_its_check_is_found(self) -> None:
+        state = ordered(first_state("1"), Replace(1, BODY)).unwrap()
+        data = archive.packed(Kept(1, state))
+        spoilt = data.replace(b"h700.example", b"h701.example")
+        self.assertFalse(isinstance(archive.unpacked(spoilt), Success))
+        with mock.patch.object(archive, "intact", lambda data, kept: True):
+            self.assertIsInstance(archive.unpacked(spoilt), Success)
+        self.assertEqual(CombState, type(state))
--- a/vetchusher/comb/acts.py
+++ b/vetchusher/comb/acts.py
@@ -103,6 +103,14 @@
     on: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Mended:
+    """:param state: the copy of the stamp that this machine holds, to be written again: its rows on disk, or
+    part of it, were not what belongs to that stamp"""
+
+    state: CombState
+
+
 Order = Replace | Retrieve | SetEvacuation
 
 
@@ -114,7 +122,7 @@
     order: Order
 
 
-Input = Tick | Heard | Saved | Submitted
+Input = Tick | Heard | Saved | Submitted | Mended
 
 
 # -- outputs ---------------------------------------------------------------------------------------
--- a/vetchusher/comb/archive.py
+++ b/vetchusher/comb/archive.py
@@ -44,9 +44,7 @@
     form = int(first.removeprefix(FIRST_LINE))
     if form > FORM:
         return bad(f"form {form} is newer than {FORM}")
-    told, _, raw = rest.partition(b"\n")
-    if told != blake3(raw).hexdigest().encode():
-        return bad("is not as it was written")
+    _, _, raw = rest.partition(b"\n")
     try:
         news = SourceNews.FromString(raw)
         rows = {row.key: row.value for row in news.rows}
@@ -54,9 +52,12 @@
         kept = kept_of(rows, body)
     except (DecodeError, KeyError, ValueError, TypeError) as error:
         return bad(f"{type(error).__name__} {error}")
-    if packed(kept) != data:
-        return bad("is not as it was written")
-    return Success(kept)
+    return Success(kept) if intact(data, kept) else bad("is not as it was written")
+
+
+def intact(data: bytes, kept: Kept) -> bool:
+    """Whether nothing else could have been written; the digest is part of it."""
+    return packed(kept) == data
 
 
 def write_file(path: Path, kept: Kept) -> Result[None, Fault]:
--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -28,7 +28,7 @@
     Written,
 )
 
-from .acts import Committed, Done, Heard, Input, Kept, Output, Saved, Submitted, Tell, Timing
+from .acts import Committed, Done, Heard, Input, Kept, Mended, Output, Saved, Submitted, Tell, Timing
 from .candidate import Candidate
 from .memory import Memory
 from .primary import Fellows, Primary
@@ -110,6 +110,11 @@
         """What may be told to ingresses; only ever grows in stamp."""
         return self._committed
 
+    @property
+    def copy(self) -> CombState:
+        """What this machine holds, committed or not."""
+        return self.memory.state
+
     @property
     def epoch(self) -> int:
         return self.primary_work.epoch if self.primary_work is not None else self.memory.promised
@@ -140,6 +145,8 @@
             self.out += self.memory.saved(now, event.token, event.ok)
         elif isinstance(event, Submitted):
             self.submitted(now, event)
+        elif isinstance(event, Mended):
+            self.memory.mend(event.state)
         else:
             self.tick(now)
         self.go_on(now)
--- a/vetchusher/comb/memory.py
+++ b/vetchusher/comb/memory.py
@@ -41,6 +41,11 @@
         self.number += 1
         self.state_number = self.number
 
+    def mend(self, state: CombState) -> None:
+        """Danger: what has been written under a later stamp meanwhile must stay."""
+        if at(state) == at(self.state):
+            self.hold(state)
+
     def tell(self, to: str, letter: CombLetter, number: int) -> list[Output]:
         """At once if the contents of that number are on disk, else when they are."""
         if number <= self.synced:
--- a/vetchusher/comb/store.py
+++ b/vetchusher/comb/store.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import sqlite3
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -16,14 +16,15 @@
 from returns.result import Failure, Result, Success
 
 from vetchusher.kinds import Fault, Kind
+from vetchusher.waggle.wire_pb2 import CombState
 
 from .acts import Kept
 from .cells import MANIFEST, SEAL, cells_of, check_of, kept_of, seal_of
 from .chunks import listed, name_of, split
-from .digests import Tree, digests_of
+from .digests import LEAVES, Tree, digest, digests_of, leaf_of, small_rows, state_of
 from .file import FORMAT, LOG_BYTES, NAME, FileError, connect, create, hurt, put_aside, strange
 from .formats import migrated
-from .state import Point, at
+from .state import Point, at, changed
 
 IMPORTED = "imported"  # a row that only `archive` writes, and that goes with the next save
 SLACK_PAGES = 64  # that may lie free in the file
@@ -35,11 +36,13 @@
     """What a disk holds of the state, by its digests.
 
     :param digests: of its rows (`digests.digests_of`), by key
+    :param written: grows whenever all of it is written again
     """
 
     stamp: Point
     digests: dict[str, bytes]
     tree: Tree
+    written: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,6 +64,7 @@
         self.folder, self.link, self.most_bytes = folder, link, most_bytes
         self.broken = False  # nothing in the file can be trusted: the next save begins a new one
         self.floor: Kept | None = None  # what an import brought (`archive`), until the first save
+        self.written = 0
         self.forget()
 
     def forget(self) -> None:
@@ -144,7 +148,7 @@
     def know(self, kept: Kept, checks: dict[str, bytes], manifest: bytes, chunks: set[bytes]) -> None:
         self.checks, self.chunks, self.body = checks, chunks, name_of(kept.state.configuration)
         digests = digests_of(kept.state, listed(manifest))
-        self.copy = Copy(at(kept.state), digests, Tree.over(digests))
+        self.copy = Copy(at(kept.state), digests, Tree.over(digests), self.written)
 
     # -- writing -------------------------------------------------------------------------------
 
@@ -176,6 +180,7 @@
         rows |= dict.fromkeys(more, b"")
         checks = {name: check_of(name, value) for name, value in rows.items()}
         chunks, known = self.chunks, name_of(body)
+        self.written += not self.checks
         link.execute("BEGIN IMMEDIATE")
         if known == self.body:
             rows[MANIFEST] = b""  # as it lies there
@@ -240,7 +245,8 @@
             rows, fault = small(self.link)
             bad = [fault] if fault else []
             held = {name: check_of(name, value) for name, value in rows.items()}
-            bad += [name for name, check in self.checks.items() if held.get(name) != check]
+            # The seal has been held to all others.
+            bad += [name for name, check in self.checks.items() if name != SEAL and held.get(name) != check]
             size, last = sum(map(len, rows.values())), b""
             query = "SELECT name, value FROM chunk WHERE name > ? ORDER BY name"
             for name, value in self.link.execute(query, (self.scanned,)):
@@ -261,17 +267,41 @@
             self.broken = hurt(error)
             return Scanned((f"{type(error).__name__} {error}",), True, 0)
 
-    def chunks_on_disk(self, names: Sequence[bytes]) -> dict[bytes, bytes]:
-        """Those of them that are there and sound."""
-        if self.link is None or self.broken:
-            return {}
-        found: dict[bytes, bytes] = {}
-        with contextlib.suppress(sqlite3.Error):
-            for name in names:
-                row = self.link.execute("SELECT value FROM chunk WHERE name = ?", (name,)).fetchone()
-                if row is not None and sound(name, row[0]):
-                    found[name] = row[0]
-        return found
+    def rows(self, stamp: Point, leaves: Container[int]) -> dict[str, bytes] | None:
+        """Rows of the state in those leaves (`digests`), read from the disk; None: the copy has another
+        stamp, or one of them is not as it was written."""
+        copy, link = self.copy, self.link
+        if copy is None or link is None or self.broken or copy.stamp != stamp:
+            return None
+        try:
+            heads, fault = small(link)
+            if fault:
+                return None
+            found = small_rows(kept_of(heads, b"").state)
+            wanted = {key: name for key, name in copy.digests.items() if leaf_of(key) in leaves}
+            for key in wanted.keys() - found.keys():
+                row = link.execute("SELECT value FROM chunk WHERE name = ?", (wanted[key],)).fetchone()
+                found[key] = row[0] if row is not None else b""
+            rows = {key: found[key] for key in wanted}
+            whole = all(isinstance(v, bytes) and digest(v) == wanted[key] for key, v in rows.items())
+            return rows if whole else None
+        except (sqlite3.Error, DecodeError, KeyError, ValueError, TypeError):
+            return None
+
+    def mended(
+        self, stamp: Point, leaves: Container[int], told: Mapping[str, bytes], root: bytes
+    ) -> CombState | None:
+        """The copy of that stamp with what was told in those leaves; None where it has not that root."""
+        others = [leaf for leaf in range(LEAVES) if leaf not in leaves]
+        own = self.rows(stamp, others)
+        if own is None or any(leaf_of(key) not in leaves for key in told):
+            return None
+        try:
+            state = changed(state_of({**own, **told}), stamped=stamp)
+        except DecodeError:
+            return None
+        names = [name_of(chunk) for chunk in split(state.configuration)]
+        return state if Tree.over(digests_of(state, names)).root == root else None
 
 
 def small(link: sqlite3.Connection) -> tuple[dict[str, bytes], str]:
--- a/vetchusher/events.py
+++ b/vetchusher/events.py
@@ -25,6 +25,10 @@
     STORE_FAILED = 207
     MEMBER_JOINED = 208
     ORDER_REFUSED = 209
+    ROWS_SPOILT = 220  # on the own disk
+    ROWS_MENDED = 221
+    COPIES_DIFFER = 222
+    COPY_MENDED = 223
     NEWS_TAKEN = 301
     NEWS_UNUSABLE = 302
     FELLOW_LOST = 303
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -26,6 +26,7 @@
 from . import orders
 from .applying import Applying
 from .following import Following
+from .mending import LETTERS, Mending
 from .paths import Channel, Paths
 from .platform import Platform
 from .reading import Read, Reading
@@ -58,6 +59,7 @@
             node.ip_address, node.zone, seeds, node.first_start, kept, comb.Timing(), rng, now(), store.floor
         )
         self.saving = Saving(loop, store, self.saved, note)
+        self.mending = Mending(node.ip_address, self.member, self.saving, rng, now, self.feed, self.carry)
         self.reading = Reading(loop)
         self.presence = Presence()
         self.comb, self.scouts, self.entrance = Ledger("comb"), Ledger("scouts"), Ledger("entrance")
@@ -124,7 +126,11 @@
     def serve(self, frame: wire.Frame, channel: Channel) -> None:
         kind = frame.WhichOneof("body")
         if kind == "comb":
-            self.feed(comb.Heard(frame.sender, frame.zone, frame.comb))
+            heard = comb.Heard(frame.sender, frame.zone, frame.comb)
+            if frame.comb.WhichOneof("kind") in LETTERS:
+                self.mending.heard(heard)
+            else:
+                self.feed(heard)
         elif kind == "beat":
             for note in self.presence.heard(self.now(), frame.beat):
                 self.note(note)
@@ -251,6 +257,7 @@
     def tick(self) -> None:
         now = self.now()
         self.feed(comb.Tick())
+        self.mending.tick()
         for note in self.presence.sweep(now):
             self.note(note)
         holds = self.member.holds(now)
@@ -371,5 +378,6 @@
             self.duty.cancel()
         await self.platform.close()
         self.applying.close()
+        self.mending.close()
         self.saving.close()
         self.reading.close()
--- /dev/null
+++ b/vetchusher/hive/mending.py
@@ -0,0 +1,90 @@
+"""Carries out what `Repair` asks for: letters, and work on the store in the thread that writes it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+
+from vetchusher import comb
+from vetchusher.comb import Member
+from vetchusher.comb.repair import Fetch, Fetched, Input, Look, Mend, Pace, Repair, Rewrite, Scan
+from vetchusher.comb.state import at
+from vetchusher.events import Event, Note
+
+from .saving import Saving
+
+Work = Scan | Fetch | Rewrite | Mend
+MOST_WAITING = 8
+LETTERS = frozenset(("compare", "compared", "rows_asked", "rows_told"))
+
+
+class Mending:
+    """Owner of one `Repair`, and of its work under way in the store's thread: one piece at a time."""
+
+    def __init__(
+        self,
+        me: str,
+        member: Member,
+        saving: Saving,
+        rng: random.Random,
+        now: Callable[[], int],
+        feed: Callable[[comb.Input], None],
+        carry: Callable[[comb.Tell | Note], None],
+    ) -> None:
+        """:param feed: takes inputs of the control state; `carry`: what it would have sent or noted"""
+        self.member, self.saving, self.now, self.feed, self.carry = member, saving, now, feed, carry
+        self.repair = Repair(me, Pace(), rng, now())
+        self.waiting: deque[Work] = deque()
+        self.task: asyncio.Task[None] | None = None
+
+    def tick(self) -> None:
+        member, copy = self.member, self.saving.store.copy
+        if member.forgetful:
+            copy = None
+        leads = member.holds(self.now())
+        self.take(Look(member.primary, leads, at(member.committed), copy))
+
+    def heard(self, event: comb.Heard) -> None:
+        self.take(event)
+
+    def take(self, event: Input) -> None:
+        for out in self.repair.handle(self.now(), event):
+            if isinstance(out, comb.Tell | Note):
+                self.carry(out)
+            elif (
+                not isinstance(out, Fetch) or len(self.waiting) < MOST_WAITING
+            ):  # who asked gives up, and asks
+                self.waiting.append(out)
+        if self.task is None and self.waiting:
+            self.task = self.saving.loop.create_task(self.work())
+
+    async def work(self) -> None:
+        try:
+            while self.waiting:
+                await self.do(self.waiting.popleft())
+        finally:
+            self.task = None
+
+    async def do(self, out: Work) -> None:
+        """Danger: only the store's own thread may touch it while the process saves."""
+        run, thread, store = self.saving.loop.run_in_executor, self.saving.thread, self.saving.store
+        match out:
+            case Scan():
+                self.take(await run(thread, store.scan))
+            case Fetch():
+                self.take(Fetched(out, await run(thread, store.rows, out.at, out.leaves)))
+            case Rewrite():
+                await run(thread, store.forget)
+                self.feed(comb.Mended(self.member.copy))
+            case Mend():
+                state = await run(thread, store.mended, out.at, out.leaves, out.rows, out.root)
+                if state is not None and at(self.member.copy) == out.at:
+                    self.feed(comb.Mended(state))
+                    facts = {"stamp": out.at, "leaves": len(out.leaves), "rows": len(out.rows)}
+                    self.carry(Note(Event.COPY_MENDED, facts))
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
