--- a/vetchusher/comb/digests.py
+++ b/vetchusher/comb/digests.py
@@ -37,11 +37,14 @@
 def small_rows(state: CombState) -> dict[str, bytes]:
     """Rows of all but the configuration; a field that this program does not know is part of none."""
     rows = {f"{EVACUATION}{e.zone}": e.SerializeToString(deterministic=True) for e in state.evacuations}
+    bare = CombState()
+    bare.CopyFrom(state)
+    bare.ClearField("configuration")  # of some MB; it is not to be copied for each field
     for field, _ in state.ListFields():
         if field.name not in APART:
             alone = CombState()
-            alone.CopyFrom(state)
-            for other, _ in state.ListFields():
+            alone.CopyFrom(bare)
+            for other, _ in bare.ListFields():
                 if other.name != field.name:
                     alone.ClearField(other.name)
             rows[f"{FIELD}{field.name}"] = alone.SerializeToString(deterministic=True)
--- a/vetchusher/comb/store.py
+++ b/vetchusher/comb/store.py
@@ -140,7 +140,8 @@
                 chunks[name] = value
             manifest = rows.get(MANIFEST, b"")
             kept = kept_of(rows, b"".join(chunks[name] for name in listed(manifest)))
-            self.know(kept, {n: check_of(n, v) for n, v in rows.items()}, manifest, set(chunks))
+            checks = {name: check_of(name, value) for name, value in rows.items()}
+            self.know(kept, name_of(kept.state.configuration), checks, manifest, set(chunks))
             # Danger: an old promise must not vote again, and an old copy must not count as one.
             self.floor = kept if IMPORTED in rows else None
             return Success(None if self.floor else kept)
@@ -150,8 +151,11 @@
     def bad(self, text: str) -> Result[Kept | None, Fault]:
         return Failure(Fault(Kind.BAD_STORE, f"{self.folder / NAME}: {text}"))
 
-    def know(self, kept: Kept, checks: dict[str, bytes], manifest: bytes, chunks: set[bytes]) -> None:
-        self.checks, self.chunks, self.body = checks, chunks, name_of(kept.state.configuration)
+    def know(
+        self, kept: Kept, body: bytes, checks: dict[str, bytes], manifest: bytes, chunks: set[bytes]
+    ) -> None:
+        """:param body: the digest of the configuration"""
+        self.checks, self.chunks, self.body = checks, chunks, body
         digests = digests_of(kept.state, listed(manifest))
         self.copy = Copy(at(kept.state), digests, self.written)
 
@@ -208,7 +212,7 @@
             manifest = b"".join(v for k, v in sorted(self.copy.digests.items()) if k.startswith("chunk/"))
         else:
             manifest = rows[MANIFEST]
-        self.know(kept, checks, manifest, chunks)
+        self.know(kept, known, checks, manifest, chunks)
 
     def write_chunks(self, link: sqlite3.Connection, body: bytes) -> tuple[bytes, set[bytes]]:
         """The manifest, and the names of what is on disk with it.  What is gone goes first: its pages are
