--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -83,7 +83,7 @@
         if found := re.fullmatch(r"holds (\d+)\.(\d+) (\w+)", word):
             stamped = int(found[1]), int(found[2])
             body = BODY + found[3].encode()
-            state = changed(ordered(first_state(MACHINES), Replace(stamped[1], body)).unwrap(), stamped)
+            state = changed(ordered(first_state(), Replace(stamped[1], body)).unwrap(), stamped)
             self.memory[ip] = Kept(stamped[0], state)
             own.save(self.memory[ip])
         elif word == "rot":
@@ -101,8 +101,9 @@
                 self.wrong.append(f"{ip} does not show {text!r}")
 
     def look(self, ip: str) -> None:
+        copy = self.stores[ip].copy
         newest = at(self.memory["1"].state) if self.committed else (0, 0)
-        self.give(ip, Look("1", ip == "1", newest, self.stores[ip].copy))
+        self.give(ip, Look("1", ip == "1", newest, copy, copy.written if copy else None))
 
     def give(self, ip: str, event: repair.Input) -> None:
         for out in self.repairs[ip].handle(self.now, event):
@@ -264,7 +265,7 @@
         self.assertIsNone(copies.stores["2"].mended((3, 7), range(256), rows, root))
 
     def test_an_import_without_its_check_is_found(self) -> None:
-        state = ordered(first_state("1"), Replace(1, BODY)).unwrap()
+        state = ordered(first_state(), Replace(1, BODY)).unwrap()
         data = archive.packed(Kept(1, state))
         spoilt = data.replace(b"h300.example", b"h301.example")
         self.assertFalse(isinstance(archive.unpacked(spoilt), Success))
@@ -284,7 +285,7 @@
         self.notes: list[Note] = []
 
     def kept(self, number: int) -> Kept:
-        return Kept(number, changed(first_state("1"), (number, number)))
+        return Kept(number, changed(first_state(), (number, number)))
 
     def test_a_disk_that_hangs_holds_up_nothing_and_the_newest_record_follows(self) -> None:
         hangs, saved, turns = threading.Event(), [], 0
@@ -331,7 +332,7 @@
 
     def test_a_row_that_rots_under_a_running_process_is_written_again(self) -> None:
         now = 0
-        member = Member("1", "a", ["1"], True, None, Timing(), random.Random(1), 0)
+        member = Member("1", "a", ["1"], True, None, Timing(), random.Random(1), 0, losses=0)
         letters: list[object] = []
 
         async def main() -> None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -22,11 +22,11 @@
 from vetchusher.comb.digests import Tree, digests_of, small_rows, state_of
 from vetchusher.comb.file import APPLICATION, KEPT, NAME
 from vetchusher.comb.floor import floor_of
-from vetchusher.comb.state import at, changed, first_state, ordered, without_configuration
+from vetchusher.comb.state import changed, first_record, first_state, ordered, without_configuration
 from vetchusher.emulator.comb_world import Scene, World
 from vetchusher.emulator.tier_world import MS, SECOND
 from vetchusher.kinds import Kind
-from vetchusher.waggle.wire_pb2 import CombState, Evacuation, Stamp
+from vetchusher.waggle.wire_pb2 import CombOffice, CombState, Evacuation, Stamp
 
 
 def routes(count: int, version: int = 1, changed_at: int = -1) -> bytes:
@@ -53,8 +53,9 @@
         self.addCleanup(shutil.rmtree, self.folder)
 
     def kept(self, epoch: int, body: bytes = b"", version: int = 0) -> Kept:
-        state = changed(first_state("123"), (epoch, epoch))
-        return Kept(epoch, ordered(state, Replace(version, body)).unwrap() if version else state)
+        state = changed(first_state(), (epoch, epoch))
+        state = ordered(state, Replace(version, body)).unwrap() if version else state
+        return Kept(epoch, state, "2", first_record("123"), copy=epoch != 3)
 
     def store(self, name: str = "own") -> Store:
         store = Store.open(str(self.folder / name)).unwrap()
@@ -179,6 +180,9 @@
         link.execute(KEPT)
         head = without_configuration(kept.state).SerializeToString()
         rows = {"promised": b"%d" % kept.promised, "state": head, "configuration": kept.state.configuration}
+        if kept.owner:
+            office = CombOffice(owner=kept.owner, record=kept.record, copy=kept.copy)
+            rows["office"] = office.SerializeToString()
         for row, value in rows.items():
             link.execute("INSERT INTO kept VALUES (?, ?, ?)", (row, value, check_of(row, value)))
         link.execute("PRAGMA journal_mode=WAL")
@@ -335,7 +339,7 @@
         super().setUp()
         self.folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, self.folder)
-        state = ordered(changed(first_state("123"), (5, 9)), Replace(4, routes(20, 4))).unwrap()
+        state = ordered(changed(first_state(), (5, 9)), Replace(4, routes(20, 4))).unwrap()
         self.kept = Kept(5, ordered(state, SetEvacuation("north", True)).unwrap())
 
     def test_any_wrong_byte_is_refused(self) -> None:
@@ -365,7 +369,7 @@
         for wiped in "123":
             world = started()
             acked(world, 5)
-            old = floor_of(next(m.disk for m in world.machines.values() if m.disk), 0)
+            old = floor_of(copy_in(world), 0)
             acked(world, 6)
             world.wipe(wiped)
             world.floors[wiped] = old
@@ -373,26 +377,30 @@
             world.run(world.at + 6 * SECOND)
             held = world.machines[wiped].disk
             assert held is not None
-            self.assertEqual((6, []), (held.state.version, world.judge.wrong))
+            self.assertEqual((6, []), (read_back(world), world.judge.wrong))
             self.assertThat(held.promised, testtools.matchers.LessThan(old.promised))
 
     def test_a_core_whose_disks_are_all_gone_begins_from_the_highest_export(self) -> None:
         for given in ("1", "3", "12", "123"):
             world = started()
             acked(world, 5)
-            floor = floor_of(next(m.disk for m in world.machines.values() if m.disk), 0)
+            floor = floor_of(copy_in(world), 0)
             for ip in world.seeds:
                 world.wipe(ip)
             world.judge.wrong.clear()
-            world.floors = {ip: Kept(floor.promised + n, floor.state) for n, ip in enumerate(given)}
+            world.floors = {
+                ip: Kept(floor.promised + n, changed(floor.state, (floor.promised + n, 0)))
+                for n, ip in enumerate(given)
+            }
             for ip in world.seeds:
                 world.start(ip)
             world.run(world.at + 25 * SECOND)
             for ip in world.seeds:
                 held = world.machines[ip].disk
                 assert held is not None
-                self.assertEqual(5, held.state.version)
-                self.assertThat(at(held.state)[0], testtools.matchers.GreaterThan(floor.promised))
+                self.assertEqual(5 if held.copy else 0, held.state.version)
+                self.assertThat(held.promised, testtools.matchers.GreaterThan(floor.promised))
+            self.assertEqual(5, read_back(world))
 
 
 def started() -> World:
@@ -403,6 +411,19 @@
     return world
 
 
+def copy_in(world: World) -> Kept:
+    """What a disk holds that has a copy."""
+    return next(m.disk for m in world.machines.values() if m.disk is not None and m.disk.copy)
+
+
+def read_back(world: World) -> int | None:
+    seen: list[int | None] = []
+    while not any(seen):
+        world.retrieve("1", seen.append)
+        world.run(world.at + SECOND)
+    return seen[-1]
+
+
 def acked(world: World, version: int) -> None:
     done: list[bool] = []
     while not any(done):
@@ -417,7 +438,7 @@
 
 class Digests(testtools.TestCase):
     def test_rows_make_the_state_again_and_ranges_tell_where_two_differ(self) -> None:
-        state = first_state("123")
+        state = first_state()
         for zone in ("b", "a"):
             state = ordered(state, SetEvacuation(zone, True)).unwrap()
         state = ordered(state, Replace(3, routes(300))).unwrap()
--- a/vetchusher/comb/floor.py
+++ b/vetchusher/comb/floor.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Sequence
 
+from vetchusher.waggle.wire_pb2 import CombState
+
 from .acts import Kept
-from .state import at, changed
+from .state import at, changed, first_record
 
 LEAP = 1 << 20  # epochs: more than are ever begun after an export and before its import
 
@@ -24,10 +26,9 @@
     return Kept(epoch, state)
 
 
-def begun_from(floors: Sequence[Kept], members: Sequence[str]) -> Kept | None:
+def begun_from(floors: Sequence[CombState], members: Sequence[str]) -> Kept | None:
     """What all machines that have forgotten begin from, once each has told its floor; the same at each."""
     if not floors:
         return None
-    best = max(floors, key=lambda floor: (floor.promised, at(floor.state)))
-    state = changed(best.state, (best.promised, 0), members)
-    return Kept(best.promised, state)
+    best = max(floors, key=at)
+    return Kept(best.stamp.epoch, best, record=first_record(members))
--- a/vetchusher/comb/formats.py
+++ b/vetchusher/comb/formats.py
@@ -7,9 +7,9 @@
 
 from google.protobuf.message import DecodeError
 
-from vetchusher.waggle.wire_pb2 import CombState
+from vetchusher.waggle.wire_pb2 import CombOffice, CombState
 
-from .cells import MANIFEST, SEAL, check_of, seal_of
+from .cells import MANIFEST, SEAL, check_of, raw_of, seal_of
 from .chunks import name_of, split
 from .file import CHUNK, FORMAT, format_of, settle
 
@@ -44,7 +44,7 @@
 
 
 def to_two(link: sqlite3.Connection) -> bool:
-    """Of the rows `promised`, `state` and `configuration`."""
+    """Of the rows `promised`, `state`, `configuration`, and `office` where there were records."""
     rows = {}
     for name, value, told in link.execute("SELECT name, value, digest FROM kept").fetchall():
         if not isinstance(value, bytes) or check_of(name, value) != told:
@@ -54,9 +54,13 @@
     if not rows:
         return True
     try:
-        if rows.keys() != {"promised", "state", "configuration"} or int(rows["promised"]) < 0:
+        if {"promised", "state", "configuration"} - rows.keys() or int(rows["promised"]) < 0:
             return False
         CombState.FromString(rows["state"])
+        if "office" in rows:
+            office = CombOffice.FromString(rows.pop("office"))
+            told = {"owner": office.owner, "record": office.record, "copy": office.copy}
+            rows |= {name: raw_of(value) for name, value in told.items()}
     except (DecodeError, ValueError):
         return False
     pieces = split(rows.pop("configuration"))
@@ -64,6 +68,6 @@
     rows[SEAL] = seal_of({name: check_of(name, value) for name, value in rows.items()})
     link.executemany("INSERT OR IGNORE INTO chunk VALUES (?, ?)", [(name_of(p), p) for p in pieces])
     link.execute("DELETE FROM kept")
-    told = [(name, value, check_of(name, value)) for name, value in rows.items()]
-    link.executemany("INSERT INTO kept VALUES (?, ?, ?)", told)
+    lines = [(name, value, check_of(name, value)) for name, value in rows.items()]
+    link.executemany("INSERT INTO kept VALUES (?, ?, ?)", lines)
     return True
--- a/vetchusher/comb/repair.py
+++ b/vetchusher/comb/repair.py
@@ -51,13 +51,15 @@
     :param primary: its ip; empty: unknown
     :param leads: it is this machine, and its lease holds
     :param committed: the stamp of what is committed
-    :param copy: of what is on the disk
+    :param copy: of what is on the disk; None: this machine has no copy
+    :param written: how often all that lies there was written (`Copy.written`); None: nothing does
     """
 
     primary: str
     leads: bool
     committed: Point
     copy: Copy | None
+    written: int | None
 
 
 @dataclass(slots=True, frozen=True)
@@ -129,7 +131,7 @@
 
     def __init__(self, me: str, pace: Pace, rng: random.Random, now: int) -> None:
         self.me, self.pace, self.rng = me, pace, rng
-        self.look = Look("", False, START, None)
+        self.look = Look("", False, START, None, None)
         self.compare_at = now + rng.randrange(1, pace.compare_us)
         self.scan_at = self.pass_at = now + rng.randrange(1, pace.part_us)
         self.scanning = False
@@ -158,12 +160,12 @@
         self.look = look
         out: list[Output] = []
         copy = look.copy
-        if copy is not None and self.doubted is not None and copy.written > self.doubted:
+        if look.written is not None and self.doubted is not None and look.written > self.doubted:
             self.doubted = None
-            out.append(Note(Event.ROWS_MENDED, {"from": "memory", "stamp": copy.stamp}))
+            out.append(Note(Event.ROWS_MENDED, {"written": look.written}))
         if self.round is not None and now >= self.round.until:
             self.round = None
-        if copy is not None and not self.scanning and now >= self.scan_at:
+        if look.written is not None and not self.scanning and now >= self.scan_at:
             self.scanning = True
             out.append(Scan())
         if now >= self.compare_at and self.round is None and copy is not None:
@@ -180,9 +182,9 @@
         if found.whole:
             self.scan_at = max(self.scan_at, self.pass_at + self.pace.pass_us)
             self.pass_at = self.scan_at
-        if not found.bad or self.look.copy is None:
+        if not found.bad or self.look.written is None:
             return []
-        self.doubted = self.look.copy.written
+        self.doubted = self.look.written
         self.compare_at = now  # what is written again is compared with the primary's at once
         return [Note(Event.ROWS_SPOILT, {"rows": "; ".join(found.bad)}), Rewrite()]
 
--- a/vetchusher/events.py
+++ b/vetchusher/events.py
@@ -25,6 +25,7 @@
     STORE_FAILED = 207
     MEMBER_JOINED = 208
     ORDER_REFUSED = 209
+    COPIES_HELD = 210
     ROWS_SPOILT = 220  # on the own disk
     ROWS_MENDED = 221
     COPIES_DIFFER = 222
--- a/vetchusher/hive/folders.py
+++ b/vetchusher/hive/folders.py
@@ -45,6 +45,10 @@
     found = kept.unwrap()
     if found is None:
         return Failure(Fault(Kind.BAD_STORE, f"{folder}: nothing yet"))
+    if not found.copy:
+        return Failure(
+            Fault(Kind.BAD_STORE, f"{folder}: holds no copy; one of {', '.join(found.record.copies)} does")
+        )
     state = found.state
     return named(file, archive.write_file(path, found)).map(
         lambda _: (
@@ -117,7 +121,11 @@
         "bytes": len(state.configuration),
         "digest": digest(state.configuration) if state.configuration else None,
         "evacuations": {e.zone: f"{'on' if e.on else 'off'}, order {e.order}" for e in state.evacuations},
-        "members": list(state.members),
+        "copy": held.copy,
+        "owner": held.owner,
+        "record": f"{held.record.epoch}.{held.record.number}",
+        "copies": list(held.record.copies),
+        "members": list(held.record.members),
         "chunks": len(store.chunks),
         "ranges": ranges(store),
         "files": files,
--- a/vetchusher/hive/mending.py
+++ b/vetchusher/hive/mending.py
@@ -40,11 +40,11 @@
         self.task: asyncio.Task[None] | None = None
 
     def tick(self) -> None:
-        member, copy = self.member, self.saving.store.copy
-        if member.forgetful:
-            copy = None
+        member = self.member
+        kept = self.saving.store.copy
+        copy = kept if member.held is not None else None
         leads = member.holds(self.now())
-        self.take(Look(member.primary, leads, at(member.committed), copy))
+        self.take(Look(member.primary, leads, at(member.committed), copy, kept.written if kept else None))
 
     def heard(self, event: comb.Heard) -> None:
         self.take(event)
@@ -77,10 +77,11 @@
                 self.take(Fetched(out, await run(thread, store.rows, out.at, out.leaves)))
             case Rewrite():
                 await run(thread, store.forget)
-                self.feed(comb.Mended(self.member.copy))
+                self.feed(comb.Mended(None))
             case Mend():
                 state = await run(thread, store.mended, out.at, out.leaves, out.rows, out.root)
-                if state is not None and at(self.member.copy) == out.at:
+                held = self.member.held
+                if state is not None and held is not None and at(held) == out.at:
                     self.feed(comb.Mended(state))
                     facts = {"stamp": out.at, "leaves": len(out.leaves), "rows": len(out.rows)}
                     self.carry(Note(Event.COPY_MENDED, facts))
