--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -27,7 +27,7 @@
     Written,
 )
 
-from .acts import Done, Heard, Input, Kept, Output, Retire, Saved, Submitted, Tell, Timing
+from .acts import Done, Heard, Input, Kept, Mended, Output, Retire, Saved, Submitted, Tell, Timing
 from .backups import Fellows
 from .candidate import Candidate
 from .memory import Memory
@@ -49,6 +49,7 @@
     :param kept: what was on this machine's disk; None: nothing, or nothing that could be read
     :param now: us of the machine's steady clock
     :param losses: how many machines may be lost at a time
+    :param floor: what an import brought; it is no memory (`floor.py`)
     """
 
     def __init__(
@@ -62,19 +63,20 @@
         rng: random.Random,
         now: int,
         losses: int = 1,
+        floor: Kept | None = None,
     ) -> None:
         self.me = me
         self.seeds = tuple(seeds)
         self.timing = timing
         self.rng = rng
-        fresh = kept is None and first_start
+        fresh = kept is None and first_start and floor is None
         self.losses = losses
         self.fellows = Fellows(me, {me: zone})
         found = kept or Kept(0, first_state(), record=first_record(seeds), copy=fresh)
         if not found.record.members:  # a disk of the first format: all members held copies
             found = replace(found, record=first_record(found.state.members))
         memory = Memory(timing, found, on_disk=kept is not None or not fresh)
-        self.recalling = None if kept is not None or fresh else Recalling(timing, me, seeds, rng, now)
+        self.recalling = None if kept is not None or fresh else Recalling(timing, me, seeds, rng, now, floor)
         self.remembering = False  # what was recalled is on its way to the disk
         voter = Voter(timing, memory, now if fresh else now + timing.lease_us, now)
         super().__init__(memory, voter, rng.randrange(1, 1 << 63), now)
@@ -110,6 +112,11 @@
         """What this machine's copy has that may be told to ingresses; only ever grows in stamp."""
         return self._committed
 
+    @property
+    def held(self) -> CombState | None:
+        """This machine's copy, committed or not; None: it has none."""
+        return self.memory.state if self.memory.copy and not self.forgetful else None
+
     @property
     def epoch(self) -> int:
         return self.primary_work.epoch if self.primary_work is not None else self.memory.promised
@@ -140,6 +147,8 @@
             self.out += self.memory.saved(now, event.token, event.ok)
         elif isinstance(event, Submitted):
             self.submitted(now, event)
+        elif isinstance(event, Mended):
+            self.memory.mend(event.state)
         elif isinstance(event, Retire):
             self.retire(now)
         else:
@@ -366,6 +375,8 @@
         if not self.forgetful:
             answer.promised, answer.owner = self.memory.promised, self.memory.owner
             answer.record.CopyFrom(self.memory.record)
+        elif self.recalling is not None and self.recalling.floor is not None:
+            answer.floor.CopyFrom(self.recalling.floor.state)
         self.out.append(Tell(sender, CombLetter(recalled=answer)))
 
     def remember(self, now: int) -> None:
