Give the keeper of a cold server a lease, and quotas the bounds of the settings

At fault: Choice._cold asked the row alone.

Ruled out: the wait (it was kept), news that are lost (a neighbour tells them).

Change: a keeper sends for 3 s from the beat to which the primary last said that it holds, no longer than its successor waits.

Beside it: Tally and Holder kept to their default bounds whatever the settings said.

--- a/tests/test_foragers.py
+++ b/tests/test_foragers.py
@@ -374,6 +374,8 @@
         cold = server("c", cold_until=5 * S, keeper="edge-1", kept_from=S)
         scene = Scene(cold, server("other", cold_until=5 * S, keeper="edge-2"))
         choice = scene.choice
+        self.assertIsNone(choice.choose(2 * S, "svc", None))  # out of touch: it may be the keeper no more
+        choice.kept_until = 20 * S
         passed = {}
         for now in range(0, 5 * S, 10_000):
             if (found := choice.choose(now, "svc", None)) is not None:
--- a/vetchusher/foragers/choice.py
+++ b/vetchusher/foragers/choice.py
@@ -74,6 +74,7 @@
         ] = {}  # by service and region: what may be used at all
         self.means: dict[tuple[str, str], float] = {}  # smoothed times (us) by service and region
         self.closed: frozenset[str] = frozenset()  # zones under evacuation
+        self.kept_until = 0  # us: until then this ingress may use the cold servers that it keeps
         self.reopened: dict[
             str, int
         ] = {}  # by zone: when its last evacuation ended; as many as there are zones
@@ -153,8 +154,10 @@
         """A cold one that this ingress keeps and that may have one more now.
 
         Danger: only the named keeper may send, and only at the allowed rate: what is allowed is meant for
-        all ingresses together.
+        all ingresses together.  One that is out of touch may be the keeper no more.
         """
+        if now >= self.kept_until:
+            return None
         for standing in some:
             server = standing.server
             if server.keeper != self.node or now < server.kept_from:
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -13,7 +13,8 @@
 from vetchusher.events import Event, Note
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.tries import ExtraTries
-from vetchusher.scouts.reader import read_row
+from vetchusher.limits.windows import Bounds as QuotaBounds
+from vetchusher.scouts.reader import KEPT_LEASE_US, read_row
 from vetchusher.scouts.server import Server
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
@@ -48,8 +49,9 @@
         self.sources = {led.source: led for led in (self.comb, self.scouts, self.entrance)}
         self.follower = Follower([host for host, _ in node.seed_nodes], self.sources)
         self.following = Following(paths, self.follower, self)
-        self.tally = Tally(node.node_name, self.life)
         bounds = node.bounds
+        quota = QuotaBounds(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
+        self.tally = Tally(node.node_name, self.life, bounds=quota)
         self.extra = ExtraTries(bounds.retry_budget_ratio, int(bounds.budget_slack), bounds.budget_window_s)
         self.front = Front(loop, node, rng, self.tally, self.extra, note)
         self.readiness = Readiness(loop, self.ready)
@@ -147,6 +149,7 @@
         now = self.now()
         self.carry_sends(self.follower.tick(now))
         self.front.fresh(self.follower.fresh(now))
+        self.front.choice.kept_until = self.follower.primary_heard_at(now) + KEPT_LEASE_US
         if self.loop.time() - self.pushed_at >= SYNC_S and len(self.pushes) < MOST_PUSHES:
             self.pushed_at = self.loop.time()
             primary, push = self.follower.primary(now), self.tally.push(now)
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -14,6 +14,7 @@
 from vetchusher.events import Event, Note
 from vetchusher.kinds import Fault, Kind
 from vetchusher.limits.totals import Holder
+from vetchusher.limits.windows import Bounds as QuotaBounds
 from vetchusher.scouts.reader import Reader
 from vetchusher.settings.configuration import Configuration
 from vetchusher.settings.node import NodeSettings
@@ -293,7 +294,9 @@
         for name in self.entrance.rows:
             self.presence.remember(now, name)
         if self.holder is None:
-            self.holder = Holder(epoch, now)
+            bounds = self.node.bounds
+            quota = QuotaBounds(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
+            self.holder = Holder(epoch, now, quota)
             self.holder.fleet(now, self.presence.may_serve())
             if self.configuration is not None:
                 self.holder.configure(now, self.configuration.tenants)
--- a/vetchusher/scouts/reader.py
+++ b/vetchusher/scouts/reader.py
@@ -18,7 +18,10 @@
 from .server import Server
 
 ABSENT_READS = 2  # whole reads in a row without it: pages shift while they are read
-KEPT_WAIT_US = 3_000_000  # before a keeper named anew may send: what the one before it had sent has arrived
+KEPT_WAIT_US = 3_000_000  # before a keeper named anew may send
+# How long a keeper may send after the beat that the primary last answered.  Danger: cut off, it does not hear
+# that another is named; a primary that is new may name one at once, so this is no longer than the wait.
+KEPT_LEASE_US = KEPT_WAIT_US
 MOST_SERVERS = 16_384
 
 
--- a/vetchusher/waggle/follower.py
+++ b/vetchusher/waggle/follower.py
@@ -161,6 +161,11 @@
         held = self.sources["comb"].stamp
         return bool(answers) and all(c.in_force.get("comb", NEVER) <= held for c in answers)
 
+    def primary_heard_at(self, now: int) -> int:
+        """When the beat was sent (us) to which the primary last said that it holds."""
+        contact = self.contacts.get(self.primary(now))
+        return contact.in_force_at if contact is not None else -(1 << 60)
+
     def primary(self, now: int) -> str:
         """Where totals are, as the newest answer says; empty where none is newer than CONTACT_US."""
         known = [c for c in self.contacts.values() if now - c.in_force_at <= CONTACT_US and c.primary]
