--- /dev/null
+++ b/vetchusher/emulator/hive_faults.py
@@ -0,0 +1,88 @@
+"""Planted faults: guards of the whole system taken out in turn, to prove that its judge can see them."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+from returns.result import Success
+
+from vetchusher.emulator import hive_world
+from vetchusher.foragers import choice, claims, request
+from vetchusher.hive import forager
+from vetchusher.kinds import Fault, Kind
+from vetchusher.limits.tally import Tally
+from vetchusher.limits.tries import ExtraTries
+from vetchusher.scouts import reader
+from vetchusher.waggle import wire_pb2 as wire
+from vetchusher.waggle.follower import Follower, Send, SendPull
+from vetchusher.waggle.ledger import NEVER, Ledger
+
+REAL_TAKE, REAL_PLACE = Ledger.take, choice.Choice._place
+REAL_CONFIGURED = forager.Forager.configuration_came
+
+
+def takes_any_news(self: Ledger, news: wire.SourceNews) -> bool:
+    """Older or not."""
+    if news.whole:
+        self.stamp, self.rows, self.gone = NEVER, {}, {}
+    return REAL_TAKE(self, news)
+
+
+def takes_any_version(self: forager.Forager, now: int) -> None:
+    self.version = 0
+    REAL_CONFIGURED(self, now)
+
+
+def pulls_whatever_differs(self: Follower, now: int, ip: str, vector: Any) -> list[Send]:
+    if self.pulling is not None or all(vector.get(n, NEVER) == led.stamp for n, led in self.sources.items()):
+        return []
+    self.pulls += 1
+    self.pulling = (self.pulls, ip, now)
+    nothing = [wire.SourceAt(source=name) for name in self.sources]
+    return [SendPull(ip, self.pulls, wire.Pull(vector=nothing))]
+
+
+def keeps_the_drained(self: choice.Choice) -> None:
+    REAL_PLACE(self)
+    for standing in self.standings.values():
+        if standing.server.draining:
+            regions = self.places.setdefault(standing.server.service, {})
+            regions.setdefault(standing.region, []).append(standing)
+
+
+PLANTED: dict[str, tuple[tuple[Any, str, Any], ...]] = {
+    "what may have run is sent again": (
+        (request, "what_next", lambda seen, repeatable: claims.what_next(seen, True)),
+    ),
+    "what may have run is promised not to": (
+        (request.Request, "_give_up", lambda self, now: self._refuse(Kind.NEVER_RAN, "no server took it")),
+    ),
+    "a cold server's new keeper does not wait": ((reader, "KEPT_WAIT_US", 0),),
+    "a keeper has no lease": ((forager, "KEPT_LEASE_US", 1 << 61),),
+    "any ingress may send to a cold server": (
+        (choice.Choice, "_is_cold", lambda self, now, standing: False),
+    ),
+    "an ingress takes older news": (
+        (Ledger, "take", takes_any_news),
+        (Follower, "_pull", pulls_whatever_differs),
+        (forager.Forager, "configuration_came", takes_any_version),
+    ),
+    "denied while not fresh": ((request.Ground, "refusal", lambda self, kind, text: Fault(kind, text)),),
+    "the drained are used": ((choice.Choice, "_place", keeps_the_drained),),
+    "extra tries without a budget": ((ExtraTries, "may", lambda self, now, service: True),),
+    "quotas are not judged": ((Tally, "admit", lambda self, now, tenant: True),),
+    "homes are not heeded": ((request, "allowed_regions", lambda route, tenant: None),),
+    "evacuations are not heeded": ((forager, "evacuated_of", lambda rows: frozenset()),),
+    "disks that sync nothing": ((hive_world.Machine, "save", lambda self, kept: Success(None)),),
+}
+
+
+@contextlib.contextmanager
+def planted(name: str) -> Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, value in PLANTED.get(name, ()):
+            stack.enter_context(mock.patch.object(owner, attribute, value))
+        yield
--- /dev/null
+++ b/vetchusher/emulator/hive_servers.py
@@ -0,0 +1,216 @@
+"""Servers, and the platform's list of them, in virtual time; and what stands in for an ingress's sockets to
+them.  What an attempt shows is drawn here; what follows from it is the program's."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from vetchusher.foragers.claims import Seen
+from vetchusher.foragers.request import Send
+from vetchusher.hive.platform import Platform
+from vetchusher.hive.tries import Got, Matter, Report
+from vetchusher.kinds import Fault, Kind
+
+from .hive_judge import Judge, Place
+from .process_loops import Net, ProcessLoop
+from .tier_world import MS
+
+QUEUE = 2  # requests beyond its capacity that a server takes
+COLUMNS = ["instance_id", "service", "address", "zone", "version", "capacity", "state", "cold_left_ms"]
+MOODS = ("reset", "refuse", "silent", "error", "cut")
+
+
+@dataclass(slots=True)
+class Server:
+    """:param cold_until: us
+    :param left_at: us: since when the list shows it draining, or not at all
+    """
+
+    instance: str
+    service: str
+    ip: str
+    zone: str
+    region: str
+    capacity: int = 6
+    cold_until: int = 0
+    left_at: int | None = None
+    draining: bool = False
+    at_work: int = 0
+
+
+@dataclass(slots=True)
+class Servers:
+    """Owner of all servers and of the list.
+
+    :param bad: share of the requests that meet a mood instead of an answer
+    """
+
+    net: Net
+    judge: Judge
+    zones: dict[str, str]
+    work_us: tuple[int, int] = (15 * MS, 60 * MS)
+    at_address: dict[str, Server] = field(default_factory=dict)  # by ip: who has it now
+    bad: float = 0.0
+    moods: tuple[str, ...] = MOODS
+    silent_platform: bool = False
+    made: int = 0
+
+    def now(self) -> int:
+        return self.net.clock.at
+
+    def add(self, service: str, zone: str, ip: str, cold_us: int = 0) -> Server:
+        self.made += 1
+        server = Server(f"i-{self.made}", service, ip, zone, self.zones[zone])
+        server.cold_until = self.now() + cold_us
+        self.at_address[ip] = server
+        return server
+
+    def drain(self, ip: str) -> None:
+        server = self.at_address[ip]
+        server.draining, server.left_at = True, server.left_at or self.now()
+
+    def remove(self, ip: str) -> None:
+        """Off the list; it still answers whoever comes, until somebody else has its address."""
+        server = self.at_address[ip]
+        server.left_at = server.left_at or self.now()
+
+    def listed(self) -> bytes:
+        rows = []
+        for one in self.at_address.values():
+            if one.left_at is None or one.draining:
+                left = max(0, one.cold_until - self.now()) // 1000
+                state = "draining" if one.draining else "available"
+                rows.append(
+                    [one.instance, one.service, f"{one.ip}:80", one.zone, "v1", one.capacity, state, left]
+                )
+        return json.dumps({"instances": {"columns": COLUMNS, "rows": rows}}).encode()
+
+    def platform(self, well: bool) -> None:
+        self.silent_platform = not well
+        self.judge.platform_well = self.now() if well else None
+
+    def place(self, server: Server) -> Place:
+        cold = self.now() < server.cold_until
+        return Place(server.instance, server.service, server.zone, server.region, cold, server.left_at)
+
+
+class Listing(Platform):
+    """The platform as a core machine reaches it."""
+
+    def __init__(self, servers: Servers) -> None:
+        super().__init__(None)
+        self.servers = servers
+
+    async def page(self, token: str | None) -> Result[bytes, Fault]:
+        raw = self.servers.listed()
+        await asyncio.sleep(0.02)
+        if self.servers.silent_platform:
+            await asyncio.sleep(1.0)
+            return Failure(Fault(Kind.BAD_MESSAGE, "the list: no answer"))
+        return Success(raw)
+
+
+@dataclass(slots=True, eq=False)
+class Errand:
+    """One attempt under way."""
+
+    send: Send
+    report: Report
+    expiry: asyncio.TimerHandle | None = None
+    begun: bool = False
+    over: bool = False
+
+
+class Errands:
+    """The place of `hive.tries.Tries` at one ingress."""
+
+    def __init__(self, loop: ProcessLoop, servers: Servers) -> None:
+        self.loop, self.servers, self.net = loop, servers, servers.net
+        self.attempts: set[Errand] = set()
+
+    def servers_changed(self) -> None:
+        """No connections are kept here."""
+
+    def start(self, send: Send, matter: Matter, report: Report) -> Errand:
+        errand = Errand(send, report)
+        self.attempts.add(errand)
+        errand.expiry = self.loop.call_at(send.deadline / 1e6, self.expire, errand)
+        ip = send.server.address.partition(":")[0]
+        clock, here = self.net.clock, self.loop.ip
+        if not self.net.open(here, ip) or not self.net.open(ip, here):
+            clock.after(send.connect_us, lambda: self.finish(errand, Seen.NO_CONNECTION))
+        else:
+            errand.begun = True
+            clock.after(self.net.way(here, ip), lambda: self.arrive(errand, ip, matter.id.decode()))
+        return errand
+
+    def cancel(self, errand: Errand) -> None:
+        self.close_off(errand)
+
+    def close_off(self, errand: Errand) -> bool:
+        if errand.over:
+            return False
+        errand.over = True
+        self.attempts.discard(errand)
+        if errand.expiry is not None:
+            errand.expiry.cancel()
+        return True
+
+    def expire(self, errand: Errand) -> None:
+        self.finish(errand, Seen.SILENT if errand.begun else Seen.NO_CONNECTION)
+
+    def finish(self, errand: Errand, seen: Seen, got: Got | None = None, prompt: bool = False) -> None:
+        def tell() -> None:
+            if self.close_off(errand):
+                errand.report(errand.send.number, seen, prompt, got)
+
+        self.loop.call_soon(tell)
+
+    def back(self, errand: Errand, ip: str, seen: Seen, got: Got | None = None, prompt: bool = False) -> None:
+        """What the server sends takes its way; a cut swallows it."""
+        way = self.net.way(ip, self.loop.ip)
+
+        def come() -> None:
+            if self.net.open(ip, self.loop.ip):
+                self.finish(errand, seen, got, prompt)
+
+        self.net.clock.after(way, come)
+
+    def arrive(self, errand: Errand, ip: str, id: str) -> None:
+        servers, judge = self.servers, self.servers.judge
+        server = servers.at_address.get(ip)
+        if server is None:
+            self.back(errand, ip, Seen.NO_CONNECTION)
+            return
+        if server.instance != errand.send.server.instance:
+            self.back(errand, ip, Seen.MISDIRECTED)
+            return
+        judge.at = servers.now()
+        asked, place = judge.asked[id], servers.place(server)
+        judge.arrives(asked, place)
+        rng = self.net.clock.rng
+        mood = rng.choice(servers.moods) if rng.random() < servers.bad else ""
+        if server.at_work >= server.capacity + QUEUE:
+            self.back(errand, ip, Seen.NOT_EXECUTED)
+            return
+        if mood == "refuse":
+            self.back(errand, ip, Seen.RESET, prompt=True)
+            return
+        judge.runs_at(asked, place)
+        server.at_work += 1
+        self.net.clock.after(rng.randrange(*servers.work_us), lambda: self.worked(errand, server, mood))
+
+    def worked(self, errand: Errand, server: Server, mood: str) -> None:
+        server.at_work -= 1
+        if mood == "silent":
+            return
+        if mood in ("reset", "cut"):
+            self.back(errand, server.ip, Seen.RESET if mood == "reset" else Seen.GARBLED)
+        elif mood == "error":
+            self.back(errand, server.ip, Seen.SERVER_ERROR, Got(500, "", [], b"", 0))
+        else:
+            self.back(errand, server.ip, Seen.ANSWERED, Got(200, "OK", [], b"", 0))
--- /dev/null
+++ b/vetchusher/emulator/hive_stories.py
@@ -0,0 +1,173 @@
+"""Stories of the whole system, drawn as text: a row a moment, a column an ingress, then the core, the servers
+and the operator.
+
+    s    | e1 gulf-a    | e2 gulf-b | e3 delta-a | core        | servers        | operator
+    1    |              |           |            |             |                | r2
+    2    | cut          |           |            | primary off | drain 10.9.0.1 |
+    ack  | /new2/ = 200 |           |            |             |                |
+
+All machines have started and r1 is in force when the first row begins.  `ack` is when the order above was
+acknowledged.  An ingress's cell: see `ACTS`, or `PATH = STATUS`, a request made there at that moment and how
+it must be answered (`200 503`: either).  The core's cell: `NAME ACT`, a name being a machine's, `all` or
+`primary`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from .hive_world import COLD_S, Scene, World
+from .tier_world import MS, SECOND
+
+PATIENCE = 15 * SECOND
+LAST = 3 * SECOND  # that a story goes on after its last row
+
+
+def others(world: World, name: str, core: bool) -> list[str]:
+    return [other for other, m in world.machines.items() if other != name and (m.core or not core)]
+
+
+ACTS: dict[str, Callable[[World, str], None]] = {
+    "on": lambda world, name: world.start(name),
+    "off": lambda world, name: world.end(name, True),  # the power goes
+    "killed": lambda world, name: world.end(name, False),
+    "wiped": lambda world, name: world.wipe(name),  # off, and its disk lost
+    "stops": lambda world, name: world.freeze(name, True),
+    "goes on": lambda world, name: world.freeze(name, False),
+    "cut": lambda world, name: world.cut(name, others(world, name, False)),
+    "cut from core": lambda world, name: world.cut(name, others(world, name, True)),
+    "unheard": lambda world, name: world.cut(name, others(world, name, True), back=False),
+    "joined": lambda world, name: world.join(name),
+    "sigterm": lambda world, name: world.leave(name),
+    "disk hangs": lambda world, name: world.disk(name, True),
+    "disk well": lambda world, name: world.disk(name, False),
+}
+SERVERS: dict[str, Callable[[World, str], None]] = {
+    "drain": lambda world, ip: world.servers.drain(ip),
+    "gone": lambda world, ip: world.servers.remove(ip),
+    "cold": lambda world, ip: reborn(world, ip, world.servers.at_address[ip].service),
+    "reused": lambda world, ip: reborn(world, ip, other_service(world, ip)),
+    "bad": lambda world, share: setattr(world.servers, "bad", float(share)),
+    "hot": lambda world, share: setattr(
+        world, "hot", float(share)
+    ),  # tenants rather: of the one with a quota
+    "platform": lambda world, how: world.servers.platform(how == "well"),
+}
+
+
+def reborn(world: World, ip: str, service: str) -> None:
+    """Another server, cold, has the address now."""
+    world.servers.add(service, world.places[ip], ip, int(COLD_S * SECOND))
+
+
+def other_service(world: World, ip: str) -> str:
+    return "a" if world.servers.at_address[ip].service != "a" else "b"
+
+
+def core_act(world: World, cell: str) -> None:
+    who, _, act = cell.partition(" ")
+    names = [m.name for m in world.cores] if who == "all" else [world.primary() if who == "primary" else who]
+    for name in names:
+        if name:
+            ACTS[act](world, name)
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    after_ack: bool
+    at: int
+    ingresses: list[tuple[str, str]]
+    core: list[str]
+    servers: list[str]
+    operator: list[str]
+
+
+def several(cell: str) -> list[str]:
+    return [part.strip() for part in cell.split(",") if part.strip()]
+
+
+def rows(text: str) -> tuple[tuple[str, ...], list[Row]]:
+    """The ingresses' zones, and the rows."""
+    lines = [[cell.strip() for cell in line.split("|")] for line in text.strip().splitlines()]
+    heads = [cell.split() for cell in lines[0][1:-3]]
+    found = []
+    for when, *cells, core, servers, operator in lines[1:]:
+        after_ack, seconds = when.startswith("ack"), when.removeprefix("ack").removeprefix("+")
+        acts = [(head[0], act) for head, cell in zip(heads, cells, strict=True) for act in several(cell)]
+        row = Row(
+            after_ack,
+            int(float(seconds or 0) * SECOND),
+            acts,
+            several(core),
+            several(servers),
+            several(operator),
+        )
+        found.append(row)
+    return tuple(head[1] for head in heads), found
+
+
+class Story:
+    """Owner of the world, and of the orders that are not yet acknowledged."""
+
+    def __init__(self, text: str, scene: Scene) -> None:
+        zones, self.rows = rows(text)
+        self.world = World(replace(scene, ingresses=zones))
+        self.world.warm_up()
+        self.began = self.ack_at = self.world.clock.at
+        self.open = 0
+
+    def run(self) -> list[str]:
+        """What was seen that may not be."""
+        world = self.world
+        for row in self.rows:
+            if row.after_ack:
+                self.wait()
+            world.run(max(world.clock.at, row.at + (self.ack_at if row.after_ack else self.began)))
+            for name, cell in row.ingresses:
+                self.ingress(name, cell)
+            for cell in row.core:
+                core_act(world, cell)
+            for cell in row.servers:
+                act, _, what = cell.partition(" ")
+                SERVERS[act](world, what)
+            for cell in row.operator:
+                self.order(cell)
+        self.wait()
+        world.run(world.clock.at + LAST)
+        world.read_back()
+        return world.wrong()
+
+    def wait(self) -> None:
+        until = self.world.clock.at + PATIENCE
+        while self.open and self.world.clock.at < until:
+            self.world.run(self.world.clock.at + 5 * MS)
+        if self.open:
+            self.world.judge.say("ACKS", "an order is not acknowledged")
+
+    def ingress(self, name: str, cell: str) -> None:
+        if not cell.startswith("/"):
+            ACTS[cell](self.world, name)
+            return
+        path, _, expected = cell.partition(" = ")
+
+        def told(status: int) -> None:
+            if str(status) not in expected.split():
+                self.world.judge.say("STORY", f"{path} at {name} was answered {status}, not {expected}")
+
+        self.world.ask(name, path, then=told)
+
+    def order(self, text: str) -> None:
+        """`r5`, `evacuate ZONE`, `return ZONE`; `r5 once`: nobody waits for it."""
+        text, once, _ = text.partition(" once")
+        self.open += not once
+
+        def done() -> None:
+            if not once:
+                self.open, self.ack_at = self.open - 1, self.world.clock.at
+
+        kind, _, zone = text.partition(" ")
+        if zone:
+            self.world.evacuate(zone, kind == "evacuate", done)
+        else:
+            self.world.replace(int(kind[1:]), done)
