Do not take a lost answer for a dead connection, and learn by service

Cause: such a reset comes within DEAD_S of a request on a connection that had stood idle, and Trust took it for one that was dead before; after a few, whatever stood idle for 0.06 s was closed, on connections to all services, and 20 s passed until 0.12 s were trusted. Lines at fault: Link.connection_lost, Trust.lost, and one Trust for all of a process.

Change: hive/trust.py, one for each service on the list. A reset of a connection that is new or had rested for less than 0.06 s shows that its servers reset for other reasons: for 10 s nothing is learnt from resets, and what was learnt in the 10 s before is taken back. The daemon keeps the one Trust that it had (net/links.py: a hook, and a method that does nothing there).

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -16,6 +16,7 @@
 from vetchusher.emulator.messages import free_port
 from vetchusher.emulator.servers import StandIn
 from vetchusher.hive.front import Front
+from vetchusher.hive.trust import Learnt, Trusts
 from vetchusher.net.door import Bounds, ClientLink
 from vetchusher.settings.configuration import ClientLimits, Configuration, Route, RouteType, Service, Tenant
 
@@ -170,6 +171,42 @@
     return scene(story, SkippingLoop)
 
 
+class Lessons(TestCase):
+    """How long idle connections are trusted, by service."""
+
+    def test_resets_of_the_living_teach_nothing_of_idle_ones(self):
+        learnt = Learnt(30.0)
+        learnt.lost(100.0, 1.0)
+        self.assertAlmostEqual(0.8, learnt.span(100.0))
+        learnt.reset_at_work(200.0, 0.0)  # a new one: the server has its own reasons
+        before = learnt.span(201.0)
+        learnt.lost(201.0, 0.2)
+        self.assertAlmostEqual(before, learnt.span(201.0))
+        learnt.lost(215.0, 0.2)
+        self.assertAlmostEqual(0.16, learnt.span(215.0))
+        learnt.lost(216.0, 0.01)  # as good as new: the lesson before it was none
+        self.assertTrue(learnt.span(216.0) > 0.8)
+
+    def test_each_service_has_its_own(self):
+        trusts = Trusts(30.0)
+        attempts = [Mock(**{"send.server.service": name}) for name in ("a", "b")]
+        trusts.of(attempts[0]).lost(1.0, 0.5)
+        self.assertEqual([True, False], [trusts.of(one).span(1.0) < 1.0 for one in attempts])
+        trusts.keep({"b"})
+        self.assertEqual(30.0, trusts.of(attempts[0]).span(1.0))
+
+    @unhurried
+    async def test_lost_answers_do_not_cost_the_kept_connections(self):
+        # One in five requests is run and its connection reset; the rest go on as before.
+        moods = itertools.cycle(["ok", "ok", "reset", "ok", "ok"])
+        server = StandIn("i-1", usual=lambda: next(moods))
+        async with ingress(server) as (front, port):
+            for _ in range(60):
+                await ask(port, "POST /once/1", b"x")
+                await asyncio.sleep(0.1)
+            self.assertTrue(server.connections <= 20, server.connections)
+
+
 class Sockets(TestCase):
     @scene
     async def test_passes_on_what_is_meant_for_the_server_and_nothing_else(self):
--- a/vetchusher/emulator/hive_servers.py
+++ b/vetchusher/emulator/hive_servers.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
@@ -132,7 +133,7 @@
         self.loop, self.servers, self.net = loop, servers, servers.net
         self.attempts: set[Errand] = set()
 
-    def servers_changed(self) -> None:
+    def servers_changed(self, services: Collection[str]) -> None:
         """No connections are kept here."""
 
     def start(self, send: Send, matter: Matter, report: Report) -> Errand:
--- a/vetchusher/hive/front.py
+++ b/vetchusher/hive/front.py
@@ -218,7 +218,7 @@
 
     def servers(self, servers: list[Server]) -> None:
         self.choice.servers(servers)
-        self.tries.servers_changed()
+        self.tries.servers_changed({server.service for server in servers})
 
     def evacuated(self, zones: frozenset[str], now: int) -> None:
         self.choice.evacuated(zones, now)
--- a/vetchusher/hive/tries.py
+++ b/vetchusher/hive/tries.py
@@ -6,7 +6,7 @@
 import logging
 import re
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,6 +21,8 @@
 from vetchusher.net.links import Link, Links, NeverSent, Streamed, Ways, open_session, sending, target_url
 from vetchusher.net.plain import MOST_BODY
 
+from .trust import Trusts
+
 log = logging.getLogger("vetchusher")
 
 IDLE_US = (
@@ -142,11 +144,16 @@
     ) -> None:
         self.loop = loop
         self.attempts: set[Attempt] = set()
-        ways = Ways(own=owns, bodiless=has_no_body, fits=fits, opened=new_socket)
+        self.trusts = Trusts(IDLE_US / 1e6)
+        ways = Ways(own=owns, bodiless=has_no_body, fits=fits, opened=new_socket, trust=self.trusts.of)
         self.session = open_session(connections, IDLE_US, None, keeps, ways)
 
-    def servers_changed(self) -> None:
-        """Danger: a connection to one that is gone may lead to whoever has its address now."""
+    def servers_changed(self, services: Collection[str]) -> None:
+        """Danger: a connection to one that is gone may lead to whoever has its address now.
+
+        :param services: that servers on the list offer
+        """
+        self.trusts.keep(services)
         connector = self.session.connector
         assert isinstance(connector, Links)
         connector.drop_stale()
--- a/vetchusher/net/links.py
+++ b/vetchusher/net/links.py
@@ -65,12 +65,14 @@
     :param bodiless: whether an answer of that status to the call has no body whatever length it states
     :param fits: whether a connection, idle for so long (seconds), may be used for the call
     :param opened: makes the socket of a new connection
+    :param trust: whose lessons hold for the connection that the call is written to; none: one for all
     """
 
     own: Callable[[Any, bytes], bool] | None = None
     bodiless: Callable[[Any, bytes], bool] | None = None
     fits: Callable[[Any, Link, float], bool] | None = None
     opened: Callable[[Any], Any] | None = None
+    trust: Callable[[Any], Trust] | None = None
 
 
 class Trust:
@@ -92,6 +94,9 @@
         self.limit = max(TRUST_LEAST_S, TRUST_PART * min(idle, self.span(now)))
         self.at = now
 
+    def reset_at_work(self, now: float, idle: float) -> None:
+        """One was reset that was new, or too late to have been dead before."""
+
 
 class Link(ResponseHandler):
     """One connection.  It hands the parser the bytes of one answer for each request, and no more.
@@ -113,17 +118,27 @@
         self.head = b""  # of the answer, as far as it has come
         self.left = 0  # bytes of its body still to come; below nothing: the parser finds the end
         self.idle_since = self.begun_at = 0.0
+        self.ended = False  # by its peer
 
     def expect(self, call: Sending) -> None:
         self.holder, self.waiting, self.head, self.left = call.holder, call, b"", 0
         self.begun_at = self._loop.time()
         self.calls, self.passed = self.calls + 1, 0
+        if self.ways.trust is not None:
+            self.trust = self.ways.trust(call)
+
+    def eof_received(self) -> None:
+        self.ended = True
+        super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         now = self._loop.time()
         unanswered = self.waiting is not None and not (self.head or self.left)
+        idle = self.begun_at - self.idle_since if self.idle_since else 0.0
         if unanswered and self.idle_since and now - self.begun_at < DEAD_S:
-            self.trust.lost(now, self.begun_at - self.idle_since)
+            self.trust.lost(now, idle)
+        elif unanswered and (self.ended or isinstance(exc, ConnectionResetError)):
+            self.trust.reset_at_work(now, idle)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -247,7 +262,7 @@
             link = cast(Link, found.protocol)
             now = self._loop.time()
             idle = now - link.idle_since
-            span = min(self.trust.span(now), link.idle_most)
+            span = min(link.trust.span(now), link.idle_most)
             if link.holder == sending.get().holder and idle <= span and link.quiet():
                 if idle >= REST_S and self.fits(link, idle):
                     break
