--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -127,7 +127,7 @@
             0.0,
             0.0,
         )  # when the last new change to be acknowledged began, ended
-        self.serving = {m.name for m in self.apiary.core}  # whose doors are known to be open
+        self.serving: set[str] = set()  # whose doors are known to be open
         self.back_at = -math.inf  # the last time that a machine returned
         self.majority_at = -math.inf  # the last time that it was the one to make a majority
         self.open_doors = 0  # of those that are being started
@@ -141,6 +141,8 @@
             tasks = [asyncio.create_task(self.operate()) for _ in range(self.operators)]
             try:
                 await self.regained()
+                await self.read_everywhere()
+                self.serving = {m.name for m in self.apiary.core}
                 await script(self)
                 await self.read_everywhere()
                 await self.all_killed()  # the last look at the disks
