Write 209 where an operator's call is refused

Cause: the catalogue of events and the operators' page promise it, and nothing wrote it: a campaign of refused orders left no line. Ruled out: the bound on lines a second. The doors tell whoever was handed in; the keeper notes it.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -187,9 +187,13 @@
             writer.write(message("GET /configuration/retrieve"))
             return status, (await read_answer(unsettled))[0], door.held
 
+        told = []
         self.assertLess(orders.ANSWER_S, 1.0)  # then callers hear of it before they go
         with mock.patch.object(orders, "READ_S", 0.05), mock.patch.object(orders, "ANSWER_S", 0.05):
-            self.assertThat(self.talk(Settler(), script), Equals((408, 503, 0)))
+            answers = self.talk(Settler(), script, refused=lambda *refused: told.append(refused))
+        self.assertThat(answers, Equals((408, 503, 0)))
+        ((call, fault),) = told
+        self.assertThat((call, fault.kind), Equals((orders.RetrieveConfiguration(), Kind.NOT_SETTLED)))
 
     def test_a_chunk_that_cannot_be_read_is_answered_at_once(self):
         async def script(connect, door):
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -196,6 +196,11 @@
                 return outcome.map(lambda _: orders.EvacuationSet(zone, on))
         return Failure(Fault(Kind.NOT_FOUND, "no such call"))
 
+    def refused(self, call: orders.Call, fault: Fault) -> None:
+        """An operator got no 2xx."""
+        told = {"call": type(call).__name__, "status": fault.status, "why": fault.text}
+        self.note(Note(Event.ORDER_REFUSED, told))
+
     async def decide(self, order: comb.Order, passed: wire.OrderAsked) -> Result[bytes, Fault]:
         """Settle it here where this is the primary; else pass it on once."""
         if self.member.holds(self.now()):
--- a/vetchusher/hive/orders.py
+++ b/vetchusher/hive/orders.py
@@ -102,6 +102,7 @@
 Answer = Replaced | Retrieved | EvacuationSet | Resolved
 # It may be cancelled at any time, as its caller may leave: what it began may then be in force or not.
 Settle = Callable[[Any], Awaitable[Result[Any, Fault]]]
+Refused = Callable[[Call, Fault], None]
 
 
 # -- what there is to call -----------------------------------------------------------------------
@@ -201,10 +202,17 @@
     """It owns its connections, `PLACES` at most: each ends by its caller, by time, or in `close`."""
 
     def __init__(
-        self, ways: tuple[Way, ...], settle: Settle, address: tuple[str, int], most_body: int = MOST_BODY
+        self,
+        ways: tuple[Way, ...],
+        settle: Settle,
+        address: tuple[str, int],
+        most_body: int = MOST_BODY,
+        refused: Refused | None = None,
     ) -> None:
+        """:param refused: is told of each call that was read and could not be granted"""
         self.ways = ways
         self.settle = settle
+        self.refused = refused
         self.address = address
         self.most_body = most_body
         self.held = 0  # bytes of bodies that are read or settled now
@@ -305,22 +313,32 @@
         return None
 
     async def settled(self, way: Way, asked: Asked) -> web.Response:
-        call = way.read(asked)
-        if isinstance(call, Failure):
-            return written(call)
+        read = way.read(asked)
+        if isinstance(read, Failure):
+            return written(read)
+        call = read.unwrap()
         patience_s = min(ANSWER_S + len(asked.body) * ANSWER_BYTE_S, SETTLE_S)
         try:
             async with asyncio.timeout(patience_s):
-                return written(await self.settle(call.unwrap()))
+                outcome = await self.settle(call)
         except TimeoutError:
-            return written(Failure(Fault(Kind.NOT_SETTLED, f"no clear answer in {patience_s:.1f} s")))
+            outcome = Failure(Fault(Kind.NOT_SETTLED, f"no clear answer in {patience_s:.1f} s"))
+        if isinstance(outcome, Failure) and self.refused is not None:
+            self.refused(call, outcome.failure())
+        return written(outcome)
 
 
 class ControlDoor(CallsDoor):
     """Operators' orders."""
 
-    def __init__(self, settle: Settle, address: tuple[str, int], most_body: int = MOST_BODY) -> None:
-        super().__init__(CONTROL, settle, address, most_body)
+    def __init__(
+        self,
+        settle: Settle,
+        address: tuple[str, int],
+        most_body: int = MOST_BODY,
+        refused: Refused | None = None,
+    ) -> None:
+        super().__init__(CONTROL, settle, address, most_body, refused)
 
 
 class DirectoryDoor(CallsDoor):
--- a/vetchusher/hive/process.py
+++ b/vetchusher/hive/process.py
@@ -124,7 +124,8 @@
         )
         self.parts.append(keeper)
         if node.listen.control is not None:
-            self.doors.append(ControlDoor(keeper.settle, node.listen.control, most_configuration(node)))
+            most = most_configuration(node)
+            self.doors.append(ControlDoor(keeper.settle, node.listen.control, most, keeper.refused))
         if node.listen.directory is not None:
             self.doors.append(DirectoryDoor(keeper.settle, node.listen.directory))
         for door in self.doors:
