End the operators of a rig for certain

Cause: a call that timed out in the moment in which its task was called off only timed out, and went on. Probes left so made calls for the rest of a run.

--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -127,6 +127,7 @@
             0.0,
             0.0,
         )  # when the last new change to be acknowledged began, ended
+        self.over = asyncio.Event()
         self.serving: set[str] = set()  # whose doors are known to be open
         self.back_at = -math.inf  # the last time that a machine returned
         self.majority_at = -math.inf  # the last time that it was the one to make a majority
@@ -147,6 +148,7 @@
                 await self.read_everywhere()
                 await self.all_killed()  # the last look at the disks
             finally:
+                self.over.set()
                 for task in tasks:
                     task.cancel()
                 await asyncio.wait(tasks)
@@ -162,8 +164,8 @@
     # -- operators ----------------------------------------------------------------------------------
 
     async def operate(self) -> None:
-        """Calls without end, of all kinds."""
-        while True:
+        """Calls of all kinds, until the run is over."""
+        while not self.over.is_set():  # a call that times out as it is called off would only time out
             await self.going.wait()
             await self.any_call()
             await asyncio.sleep(self.rng.uniform(0.5, 1.5) * PACE_S)
@@ -300,8 +302,8 @@
 
         :raises TimeoutError: none is
         """
-        struck = time.monotonic()
-        probes = [asyncio.create_task(self.probe(machine)) for machine in self.apiary.core]
+        struck, over = time.monotonic(), asyncio.Event()
+        probes = [asyncio.create_task(self.probe(machine, over)) for machine in self.apiary.core]
         try:
             async with asyncio.timeout(REGAIN_S):
                 while self.last[0] < struck:
@@ -310,12 +312,14 @@
         except TimeoutError as late:
             raise TimeoutError(f"nothing acknowledged for {REGAIN_S:g} s") from late
         finally:
+            over.set()
             for probe in probes:
                 probe.cancel()
+            await asyncio.wait(probes)
         return self.last[1] - struck
 
-    async def probe(self, machine: Machine) -> None:
-        while True:
+    async def probe(self, machine: Machine, over: asyncio.Event) -> None:
+        while not over.is_set():
             await self.write(machine, self.take_version(), patience_s=HASTE_S)
             await asyncio.sleep(HASTE_PACE_S)
 
