--- a/benchmarks/core_campaign.py
+++ b/benchmarks/core_campaign.py
@@ -61,7 +61,7 @@
         try:
             return asyncio.run(rig.run(script))
         except (TimeoutError, OSError) as end:
-            rig.found.wrong.append(f"the run ended: {str(end)[:300]!r}")
+            rig.found.wrong.append(f"the run ended: {str(end)[:2_000]!r}")
             return rig.found
 
 
--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -13,6 +13,7 @@
 import math
 import pathlib
 import random
+import re
 import signal
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -310,7 +311,7 @@
                     self.acknowledged.clear()
                     await self.acknowledged.wait()
         except TimeoutError as late:
-            raise TimeoutError(f"nothing acknowledged for {REGAIN_S:g} s") from late
+            raise TimeoutError(f"nothing acknowledged for {REGAIN_S:g} s: {self.roles()}") from late
         finally:
             over.set()
             for probe in probes:
@@ -318,6 +319,11 @@
             await asyncio.wait(probes)
         return self.last[1] - struck
 
+    def roles(self) -> str:
+        """What each machine last said of epochs, for the report."""
+        told = {m.name: re.findall(r"\S+ I (20[1-3] .*)", m.log)[-3:] for m in self.apiary.core}
+        return "; ".join(f"{name} {' | '.join(lines)}" for name, lines in told.items())
+
     async def probe(self, machine: Machine, over: asyncio.Event) -> None:
         while not over.is_set():
             await self.write(machine, self.take_version(), patience_s=HASTE_S)
