--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -13,6 +13,7 @@
 import math
 import pathlib
 import random
+import re
 import signal
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -21,7 +22,7 @@
 
 import aiohttp
 
-from vetchusher.hive.cli import kept_in
+from vetchusher.hive.folders import kept_in
 
 from .apiary import CONTROL, INTERNAL, REGIONS, Apiary, Machine, first_configuration
 from .call_history import History, Ordered, Read, Seen, Wrote
@@ -127,7 +128,8 @@
             0.0,
             0.0,
         )  # when the last new change to be acknowledged began, ended
-        self.serving = {m.name for m in self.apiary.core}  # whose doors are known to be open
+        self.over = asyncio.Event()
+        self.serving: set[str] = set()  # whose doors are known to be open
         self.back_at = -math.inf  # the last time that a machine returned
         self.majority_at = -math.inf  # the last time that it was the one to make a majority
         self.open_doors = 0  # of those that are being started
@@ -141,10 +143,13 @@
             tasks = [asyncio.create_task(self.operate()) for _ in range(self.operators)]
             try:
                 await self.regained()
+                await self.read_everywhere()
+                self.serving = {m.name for m in self.apiary.core}
                 await script(self)
                 await self.read_everywhere()
                 await self.all_killed()  # the last look at the disks
             finally:
+                self.over.set()
                 for task in tasks:
                     task.cancel()
                 await asyncio.wait(tasks)
@@ -160,8 +165,8 @@
     # -- operators ----------------------------------------------------------------------------------
 
     async def operate(self) -> None:
-        """Calls without end, of all kinds."""
-        while True:
+        """Calls of all kinds, until the run is over."""
+        while not self.over.is_set():  # a call that times out as it is called off would only time out
             await self.going.wait()
             await self.any_call()
             await asyncio.sleep(self.rng.uniform(0.5, 1.5) * PACE_S)
@@ -298,22 +303,29 @@
 
         :raises TimeoutError: none is
         """
-        struck = time.monotonic()
-        probes = [asyncio.create_task(self.probe(machine)) for machine in self.apiary.core]
+        struck, over = time.monotonic(), asyncio.Event()
+        probes = [asyncio.create_task(self.probe(machine, over)) for machine in self.apiary.core]
         try:
             async with asyncio.timeout(REGAIN_S):
                 while self.last[0] < struck:
                     self.acknowledged.clear()
                     await self.acknowledged.wait()
         except TimeoutError as late:
-            raise TimeoutError(f"nothing acknowledged for {REGAIN_S:g} s") from late
+            raise TimeoutError(f"nothing acknowledged for {REGAIN_S:g} s: {self.roles()}") from late
         finally:
+            over.set()
             for probe in probes:
                 probe.cancel()
+            await asyncio.wait(probes)
         return self.last[1] - struck
 
-    async def probe(self, machine: Machine) -> None:
-        while True:
+    def roles(self) -> str:
+        """What each machine last said of epochs, for the report."""
+        told = {m.name: re.findall(r"\S+ I (20[1-3] .*)", m.log)[-3:] for m in self.apiary.core}
+        return "; ".join(f"{name} {' | '.join(lines)}" for name, lines in told.items())
+
+    async def probe(self, machine: Machine, over: asyncio.Event) -> None:
+        while not over.is_set():
             await self.write(machine, self.take_version(), patience_s=HASTE_S)
             await asyncio.sleep(HASTE_PACE_S)
 
