--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build dev test lint run run-daemon bench-counter-loss bench-counter-loss-sockets bench-duties bench-duties-processes bench-members \
+.PHONY: build dev test lint run run-daemon bench-counter-loss bench-counter-loss-sockets bench-duties bench-duties-processes bench-members bench-control \
 	bench-members-processes bench-core
 
 build:
@@ -14,7 +14,7 @@
 
 lint: dev
 	$(PYTHON) -m ruff check .
-	$(PYTHON) -m ruff format --check vetchusher/kinds.py vetchusher/events.py vetchusher/policy vetchusher/waggle vetchusher/comb vetchusher/scouts vetchusher/foragers vetchusher/entrance vetchusher/hive vetchusher/net vetchusher/limits vetchusher/membership vetchusher/fleet vetchusher/tier vetchusher/duties vetchusher/emulator vetchusher/settings benchmarks tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py tests/test_marks.py tests/test_membership.py tests/test_subset.py tests/test_console.py tests/test_upgrade.py tests/test_pieces.py tests/test_streamed.py tests/test_deployments.py tests/test_duties.py tests/test_duties_processes.py tests/test_members.py tests/test_members_processes.py tests/test_waggle.py tests/test_orders.py tests/test_system_settings.py tests/test_foragers.py tests/test_front.py tests/test_apiary.py tests/test_core_processes.py tests/test_store.py tests/test_repair.py tests/test_hive_world.py
+	$(PYTHON) -m ruff format --check vetchusher/kinds.py vetchusher/events.py vetchusher/policy vetchusher/waggle vetchusher/comb vetchusher/scouts vetchusher/foragers vetchusher/entrance vetchusher/hive vetchusher/net vetchusher/limits vetchusher/membership vetchusher/fleet vetchusher/tier vetchusher/duties vetchusher/emulator vetchusher/settings benchmarks tests/net_helpers.py tests/test_sockets.py tests/test_net.py tests/test_service.py tests/test_marks.py tests/test_membership.py tests/test_subset.py tests/test_console.py tests/test_upgrade.py tests/test_pieces.py tests/test_streamed.py tests/test_deployments.py tests/test_duties.py tests/test_duties_processes.py tests/test_members.py tests/test_members_processes.py tests/test_waggle.py tests/test_orders.py tests/test_system_settings.py tests/test_foragers.py tests/test_front.py tests/test_apiary.py tests/test_comb_explorer.py tests/test_core_processes.py tests/test_store.py tests/test_repair.py tests/test_hive_world.py
 	$(PYTHON) -m mypy
 
 run: build
@@ -56,3 +56,8 @@
 
 bench-core: dev
 	$(PYTHON) -m benchmarks.core_campaign play --rounds 7 --tiers 2 --jobs 4 --keep benchmarks/results/core-campaign.md
+
+bench-control: dev
+	$(PYTHON) -m benchmarks.control search --seeds 6000..7999,9000..9599 --jobs 6 --keep benchmarks/results/control-search.md
+	$(PYTHON) -m benchmarks.control explore --jobs 6 --keep benchmarks/results/control-explore.md
+	$(PYTHON) -m benchmarks.control planted --jobs 6 --keep benchmarks/results/control-planted.md
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -280,7 +280,9 @@
         for how, count in (by_explorer(states, walks), by_search(range(1, runs + 1)), by_stories(tries)):
             cells.append(f"{how}: {count}" if how else f"- ({count})")
     found = sum(not cell.startswith("- ") for cell in cells)
-    return f"| {name} | {' | '.join(cells)} | {found or 'not found'} |"
+    row = f"| {name} | {' | '.join(cells)} | {found or 'not found'} |"
+    print(row, flush=True)  # long before the table
+    return row
 
 
 def planted_(
