--- a/vetchusher/emulator/comb_cases.py
+++ b/vetchusher/emulator/comb_cases.py
@@ -7,7 +7,7 @@
 
 from vetchusher.comb import SetEvacuation, Timing
 
-from .comb_cells import Cell, Cells
+from .comb_cells import UNIT, Cell, Cells
 from .comb_explorer import BEGIN, TIMING, Budget, Operator, State, replacing
 from .comb_judge import Judge
 from .explorer import TIME
@@ -59,7 +59,17 @@
 
 
 LAVISH = Budget(
-    steps=1_000, crashes=9, wipes=9, blackouts=9, cuts=9, losses=9, refusals=9, stops=9, slips=9, ends=9
+    steps=1_000,
+    crashes=9,
+    wipes=9,
+    blackouts=9,
+    cuts=9,
+    losses=9,
+    refusals=9,
+    stops=9,
+    slips=9,
+    ends=9,
+    ticks=9,
 )
 
 
@@ -71,9 +81,14 @@
     return state
 
 
-def settled() -> State:
+def settled(timing: Timing = TIMING) -> State:
     """The first machine leads, r1 is acknowledged and on all disks, no letter is on its way."""
-    state = until(first_start(), holds("1"))
+    state = fresh(timing=timing)
+    for cell in state.cells:
+        if cell.place == 3:
+            state = step(state, TIME)  # later than the others, so that it does not ask first
+        state.put(state.hall.start(cell, state.at, first=True))
+    state = until(state, holds("1"))
     state.operators = (Operator(replacing(1)),)
     state = until(step(state, "order 1 to 1"), lambda s: s.operators[0].done)
     state = calm(step(calm(state), TIME))
@@ -105,6 +120,28 @@
     return state
 
 
+def way_cut() -> State:
+    """The same, and a lease later, while the first machine was not heard by the third."""
+    state = step(unfinished(), "1 to 3 cut")
+    for _ in range(3):
+        state = step(calm(state), TIME)
+    return state
+
+
+def disk_behind() -> State:
+    """All that r2 needs has happened but for the primary's own save, as the power goes; the third is off."""
+    state = step(settled(), "order 1 to 1")
+    while True:
+        ready = [taken for how, taken in state.ready() if how != "1 has saved"]
+        if not ready:
+            break
+        state = ready[0](state.copy())
+        state.wrong()
+    state = step(state, "power lost")
+    state.letters = ()
+    return step(step(state, "1 starts"), "2 starts")
+
+
 def emptied() -> State:
     """The first machine has lost its disk right after an acknowledgement, and has started again."""
     state = step(settled(), "order 1 to 1")
@@ -120,6 +157,20 @@
     return state
 
 
+def alone() -> State:
+    """The primary is cut off both ways, its lease nearly over; the third asks without a pause."""
+    state = settled(replace(TIMING, pause_us=2 * UNIT))
+    for ip in "23":
+        state = step(step(state, f"{ip} to 1 cut"), f"1 to {ip} cut")
+    return step(step(state, TIME), TIME)
+
+
+def stopped() -> State:
+    """The primary stopped with answers on their way, and another leads since."""
+    state = step(step(settled(), TIME), "1 stops")
+    return until(state, lambda s: holds("2")(s) or holds("3")(s))
+
+
 def restarted() -> State:
     """A voter crashes inside the lease that it gave, and starts again."""
     return step(step(step(settled(), "3 crashes"), "3 starts"), "order 1 to 1")
@@ -167,9 +218,12 @@
     "writing, disks refuse": Case(writing, Budget(blackouts=1, refusals=2)),
     "primary lost": Case(primary_lost, Budget(crashes=1, losses=1)),
     "primary hears nobody": Case(cut_off, Budget(stops=1)),
-    "clocks apart": Case(cut_off, Budget(slips=1)),
+    "clocks apart": Case(alone, Budget(slips=1, ticks=2, joins=0)),
+    "primary stopped for long": Case(stopped, Budget(losses=1)),
     "primary stops": Case(writing, Budget(stops=1, cuts=1)),
     "a copy that nobody else holds": Case(unfinished, Budget(crashes=1, losses=1)),
+    "all started, a way cut": Case(way_cut, Budget(losses=1)),
+    "the primary's disk was behind": Case(disk_behind, Budget(losses=1)),
     "a disk emptied": Case(emptied, Budget(crashes=1, losses=1)),
     "a voter restarted": Case(restarted, Budget(cuts=1, crashes=1)),
     "handing over": Case(writing, Budget(ends=1, crashes=1, losses=1)),
--- a/vetchusher/emulator/comb_cells.py
+++ b/vetchusher/emulator/comb_cells.py
@@ -37,6 +37,7 @@
 
 UNIT: Final = 500_000  # us; a step of the clock
 ATOMS = (int, str, bytes, bool, float, type(None))
+LONG = 100 * UNIT  # no time is drawn that long
 LOSSES = 1  # machines that may be lost at a time
 READING = -1  # number of the order by which is seen what a machine would read out
 
@@ -55,7 +56,8 @@
 
     def randrange(self, start: int, stop: int | None = None, step: int = 1) -> int:
         least, most = (0, start) if stop is None else (start, stop)
-        return least + (self.place * UNIT + self.life) % (most - least)
+        told_apart = most - least > LONG  # else it is a pause
+        return least + (self.place * UNIT + self.life * told_apart) % (most - least)
 
     def random(self) -> float:
         return 0.5
--- a/vetchusher/emulator/comb_explorer.py
+++ b/vetchusher/emulator/comb_explorer.py
@@ -81,7 +81,9 @@
     :param blackouts: all machines lose power at once
     :param cuts: one-way, of one machine from one other
     :param stops: a process stands still, then goes on
+    :param joins: of a way that was cut
     :param ends: in order, as by SIGTERM
+    :param ticks: of one machine more than its one at each step of the clock
     :param slips: of a clock, by one step, which is what `lease_us` has over `held_us`
     """
 
@@ -96,6 +98,8 @@
     stops: int = 0
     slips: int = 0
     ends: int = 0
+    ticks: int = 0
+    joins: int = 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -338,6 +342,7 @@
                 yield *stop, partial(State.stands, cell=cell)
                 yield "crashes", f"{cell.ip} crashes", partial(State.falls, cell=cell)
                 if not cell.stopped:
+                    yield "ticks", f"{cell.ip} ticks again", partial(State.ticks, cell=cell)
                     yield "ends", f"{cell.ip} is told to end", partial(State.retires, cell=cell)
             if cell.saving is not None:
                 fall = partial(State.falls, cell=cell, landed=True)
@@ -354,7 +359,7 @@
         for letter in self.letters:
             yield "losses", f"lost: {named(letter)}", partial(State.without, letter=letter)
         for pair in self.cuts:
-            yield "", f"{pair[0]} to {pair[1]} joined", partial(State.cut, cuts=self.cuts - {pair})
+            yield "joins", f"{pair[0]} to {pair[1]} joined", partial(State.cut, cuts=self.cuts - {pair})
         ways = {(a.ip, b.ip) for a in self.cells for b in self.cells if a is not b}
         for pair in sorted(ways - self.cuts):
             yield "cuts", f"{pair[0]} to {pair[1]} cut", partial(State.cut, cuts=self.cuts | {pair})
@@ -370,6 +375,9 @@
             self.judging().lost_at[cell.ip] = self.at
         return self
 
+    def ticks(self, cell: Cell) -> State:
+        return self.carry(self.hall.tick(cell, self.at))
+
     def retires(self, cell: Cell) -> State:
         """It is told to end in order; the end itself is a crash."""
         return self.carry(self.hall.give(cell, self.at, Retire(), "retire"))
