Replace a machine that is about to end before it does

Letters now say that their sender is about to end; it is chosen for no copy. A backup that ends says so too and waits until another has its copy, 0.5 s at most.

--- a/tests/test_comb.py
+++ b/tests/test_comb.py
@@ -326,6 +326,16 @@
         """,
         CALM,
     ),
+    "a backup ends in order": (
+        """
+        s       | 1 east | 2 east | 3 west | operator
+        0       |        |        | ends   | r5
+        ack+0.2 |        | copy   |        |
+        ack+0.6 | leads  |        |        | r6
+        ack+0.2 | off    |        | on     | reads r6
+        """,
+        CALM,
+    ),
     "after a loss of power the last primary leads at once": (
         """
         s       | 1 east | 2 east | 3 west | operator
--- a/vetchusher/comb/backups.py
+++ b/vetchusher/comb/backups.py
@@ -19,13 +19,14 @@
 
 @dataclass(slots=True)
 class Fellows:
-    """Who was heard when, from which zone, and the life of its process.  Bounded: `Member` forgets the one
-    longest unheard."""
+    """Who was heard when, from which zone, the life of its process, and who is about to end.  Bounded:
+    `Member` forgets the one longest unheard."""
 
     me: str
     zones: dict[str, str] = field(default_factory=dict)
     heard_at: dict[str, int] = field(default_factory=dict)
     lives: dict[str, int] = field(default_factory=dict)
+    leaving: set[str] = field(default_factory=set)
 
     def apart(self, ips: set[str]) -> bool:
         """Whether they lie in more than one zone."""
@@ -131,7 +132,8 @@
         if ip == self.fellows.me:
             return True
         backup = self.member(ip)
-        return self.heard(now, ip) and not backup.forgetful and now >= backup.rested_until
+        ready = not backup.forgetful and ip not in self.fellows.leaving
+        return ready and self.heard(now, ip) and now >= backup.rested_until
 
     def forget_learners(self, now: int) -> None:
         old = [ip for ip, x in self.learners.items() if now >= x.joined_at + self.timing.learner_us]
--- a/vetchusher/comb/member.py
+++ b/vetchusher/comb/member.py
@@ -123,6 +123,11 @@
     def members(self) -> tuple[str, ...]:
         return tuple(self.memory.record.members)
 
+    @property
+    def needed(self) -> bool:
+        """As far as is known here, another has to take over what this machine does."""
+        return not self.primary or self.me in self.memory.record.copies
+
     @property
     def forgetful(self) -> bool:
         return self.recalling is not None
@@ -134,7 +139,7 @@
             self.sure_from, self.agreed = now + self.timing.renew_us, None
         self.ran_at = now
         if isinstance(event, Heard):
-            self.meet(now, event.sender, event.zone, event.letter.life)
+            self.meet(now, event.sender, event.zone, event.letter)
             self.letter(now, event.sender, event.letter)
         elif isinstance(event, Saved):
             self.out += self.memory.saved(now, event.token, event.ok)
@@ -148,14 +153,15 @@
         out, self.out = self.out, []
         for one in out:
             if isinstance(one, Tell):
-                one.letter.life = self.life
+                one.letter.life, one.letter.leaving = self.life, self.retired
         return out
 
-    def meet(self, now: int, sender: str, zone: str, life: int) -> None:
+    def meet(self, now: int, sender: str, zone: str, letter: CombLetter) -> None:
         fellows = self.fellows
         fellows.zones[sender], fellows.heard_at[sender] = zone, now
-        if fellows.lives.get(sender) != life:
-            fellows.lives[sender] = life
+        (fellows.leaving.add if letter.leaving else fellows.leaving.discard)(sender)
+        if fellows.lives.get(sender) != letter.life:
+            fellows.lives[sender] = letter.life
             if self.primary_work is not None:
                 self.primary_work.reborn(sender)
         if self.recalling is not None:
@@ -163,6 +169,7 @@
         if len(fellows.heard_at) > MOST_FELLOWS:
             oldest = min(fellows.heard_at, key=fellows.heard_at.__getitem__)
             del fellows.heard_at[oldest], fellows.zones[oldest], fellows.lives[oldest]
+            fellows.leaving.discard(oldest)
 
     def letter(self, now: int, sender: str, letter: CombLetter) -> None:
         match letter.WhichOneof("kind"):
@@ -301,7 +308,7 @@
         self.candidate.choose(now)
 
     def retire(self, now: int) -> None:
-        """The process is about to end: it stands no more, and hands over if it leads."""
+        """The process is about to end: it stands no more, hands over if it leads, is replaced as a copy."""
         self.retired, self.candidate = True, None
         if self.primary_work is not None:
             heir = self.primary_work.best_heir(now)
@@ -309,6 +316,8 @@
                 self.hand_over(now, heir, "it hands over")
             else:
                 self.step_down("it ends")
+        elif self.voter.lease_to:
+            self.out.append(Tell(self.voter.lease_to, CombLetter()))
 
     def step_down(self, why: str) -> None:
         primary, self.primary_work = self.primary_work, None
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -34,7 +34,7 @@
 READ_PAUSE_S = 0.6  # between two whole reads of the list
 PASS_ON_S = 2.5  # for the primary's answer to an order passed on
 MOST_WATCHERS = 2048
-LAST_VOTE_S = 0.5  # that one which led goes on voting when it ends
+LAST_VOTE_S = 0.5  # for others to take over when this one ends
 SHELF_PAUSE_S = 0.25  # between two writes of what has been told
 
 
@@ -80,7 +80,6 @@
         self.holder: Holder | None = None
         self.platform = Platform(node.cloud_api)
         self.following = Following(self.paths, self.follower, self)
-        self.led = False  # when it was asked to end
         self.shelf = shelf
         self.shelved: dict[str, tuple[int, int]] = {}  # stamps of what is on the shelf
         self.shelving: asyncio.Task[None] | None = None
@@ -377,17 +376,16 @@
         self.follower.reseed([host for host, _ in node.seed_nodes])
 
     def leave(self) -> None:
-        """If it leads, another is to lead at once."""
-        self.led = self.member.holds(self.now())
+        """Another is to lead, or to hold the copy, at once."""
         self.feed(comb.Retire())
 
     async def close(self, deadline_s: float) -> None:
-        """Votes on until another leads, if it led.
+        """Votes on until others have taken over, for a while.
 
         :param deadline_s: on the loop's clock
         """
         end = min(deadline_s, self.loop.time() + LAST_VOTE_S)
-        while self.led and not self.member.primary and self.loop.time() < end:
+        while self.member.needed and self.loop.time() < end:
             await asyncio.sleep(TICK_S)
         await self.following.close()
         if self.duty is not None:
