--- a/benchmarks/control_days.py
+++ b/benchmarks/control_days.py
@@ -4,7 +4,7 @@
   control_days draw SITE... --into FOLDER [--days N] [--seed N] [--traffic X]
   control_days play SITE... --into FOLDER --bench PROGRAM --why TEXT [--days N] [--seed N] [--traffic X]
                [--jobs N] [--keep FILE]
-  control_days table REPORT... [--keep FILE]
+  control_days table FOLDER [--before FOLDER] [--keep FILE]
   control_days (-h | --help)
 
 Every way of a trouble that a site offers is dealt before any comes again.  A day borrows its traffic, floors
@@ -19,6 +19,7 @@
   --seed N         The first day's seed [default: 1].
   --traffic X      Part of the site's own traffic [default: 0.3].
   --jobs N         Days at the same time [default: 2].
+  --before FOLDER  Where the same days were played by an earlier program.
   --keep FILE      Write the table there, as Markdown.
 """
 
@@ -31,7 +32,7 @@
 import sys
 import tomllib
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
@@ -207,41 +208,108 @@
     return days_table([job.beside(".json") for job in jobs])
 
 
-def days_table(reports: Sequence[pathlib.Path]) -> list[str]:
-    """A line a day, and before them what they come to."""
-    lines, broken, total = list[str](), Counter[str](), Counter[str]()
-    for report in reports:
-        day = tomllib.loads(report.with_suffix(".toml").read_text())
-        total["days"] += 1
-        struck = Counter(f"{one['kind']} {one['how']}".strip() for one in day["faults"])
-        closing = day.get("closing", {})
-        ended = f"{closing.get('kind', '')} {closing.get('how', '')}".strip() or "none"
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """What a report says of a day.
+
+    :param rules: broken, with how often; `FAULT` where the program itself ended the day
+    :param short: what it fell short of at the gate
+    :param missed: orders without an acknowledgement
+    :param worth: earned of what was owed, over the whole day
+    :param worst: the same in the two worst windows
+    """
+
+    rules: dict[str, int]
+    short: list[str]
+    missed: int
+    worth: float
+    worst: float
+
+    @staticmethod
+    def of(report: pathlib.Path) -> Outcome | None:
         if not report.exists():
-            total["not played"] += 1
-            lines.append(f"| {report.stem} | {', '.join(struck)} | {ended} | NOT PLAYED | | | | |")
-            continue
-        found = json.loads(report.read_text())
-        prices = {name: amount for name, amount, _ in found["prices"]}
-        missed = int(prices.get("duties missed", 0))
-        total["missed"] += missed
-        broken.update(found["breaks"])
-        total["gate"] += not (found["breaks"] or found["fault"] or found["short"])
-        short = ", ".join(map(str, found["short"]))
-        rules = ", ".join(found["breaks"]) or (found["fault"] and "FAULT") or "none"
-        worth = next(part for name, _, part in found["parts"] if name == "whole day")
-        worst = next(part for name, _, part in found["parts"] if name == "worst windows")
-        lines.append(
-            f"| {report.stem} | {', '.join(struck)} | {ended} | {rules} "
-            f"| {short} | {missed} | {worth:.3f} | {worst:.3f} |"
+            return None
+        told = json.loads(report.read_text())
+        parts = {name: part for name, _, part in told["parts"]}
+        prices = {name: amount for name, amount, _ in told["prices"]}
+        return Outcome(
+            told["breaks"] | ({"FAULT": 1} if told["fault"] else {}),
+            [str(one) for one in told["short"]],
+            int(prices.get("duties missed", 0)),
+            parts["whole day"],
+            parts["worst windows"],
         )
-    said = ", ".join(f"{name} x {n}" for name, n in broken.items()) or "none"
+
+
+def ways_of(day: Mapping[str, Any]) -> list[str]:
+    return [f"{one['kind']} {one['how']}".strip() for one in day["faults"]]
+
+
+def closing_of(day: Mapping[str, Any]) -> str:
+    closing = day.get("closing", {})
+    return f"{closing.get('kind', '')} {closing.get('how', '')}".strip() or "none"
+
+
+def number_of(report: pathlib.Path) -> tuple[str, int]:
+    site, _, number = report.stem.rpartition("-")
+    return site, int(number)
+
+
+def days_table(reports: Sequence[pathlib.Path], before: pathlib.Path | None = None) -> list[str]:
+    """What the days come to, how often each way struck, and a line a day."""
+    days = {
+        one: tomllib.loads(one.with_suffix(".toml").read_text()) for one in sorted(reports, key=number_of)
+    }
+    found = {one: Outcome.of(one) for one in days}
+    old = {one: Outcome.of(before / one.name) if before else None for one in days}
+    struck = Counter(way for one, day in days.items() if found[one] for way in ways_of(day))
+    struck.update(f"closing {closing_of(day)}" for one, day in days.items() if found[one])
+    struck.update(way["kind"] for one, day in days.items() if found[one] for way in day["plan"])
+    lines = [summary("Now", list(found.values()))]
+    if before:
+        lines.append(summary("Before", [old[one] for one in days]))
+    lines += ["", "Struck: " + ", ".join(f"{way} {times}" for way, times in sorted(struck.items())) + ".", ""]
+    lines.append("| day | troubles | closing | rules broken | short of | missed | worth | worst windows |")
+    lines.append("| --- | --- | --- | --- | --- | ---: | ---: | ---: |")
+    for one, day in days.items():
+        cells = [one.stem, ", ".join(ways_of(day)), closing_of(day), *told(found[one], old[one])]
+        lines.append(f"| {' | '.join(cells)} |")
+    return lines
+
+
+def summary(name: str, outcomes: Sequence[Outcome | None]) -> str:
+    played = [one for one in outcomes if one is not None]
+    broken = sum((Counter(one.rules) for one in played), Counter[str]())
+    passed = sum(not one.rules and not one.short for one in played)
+    worth, worst = (sorted(getattr(one, f) for one in played) for f in ("worth", "worst"))
+    return (
+        f"{name}: {len(played)} days, {passed} past the gate; rules broken: {dict(broken) or 'none'}; "
+        f"orders missed: {sum(one.missed for one in played)}; "
+        f"worth {spread(worth)}, worst windows {spread(worst)}.  "
+    )
+
+
+def spread(values: Sequence[float]) -> str:
+    """Median, least and most of what is in order."""
+    if not values:
+        return "unknown"
+    return f"{values[len(values) // 2]:.3f} ({values[0]:.3f} to {values[-1]:.3f})"
+
+
+def told(now: Outcome | None, before: Outcome | None) -> list[str]:
+    """Cells of a day; what was before stands in brackets where it is known."""
+    if now is None:
+        return ["NOT PLAYED", "", "", "", ""]
+
+    def cell(of: Callable[[Outcome], str]) -> str:
+        return f"{of(now)} ({of(before)})" if before else of(now)
+
     return [
-        f"{total['days']} days, {total['not played']} not played, {total['gate']} past the gate; "
-        f"rules broken: {said}; duties missed: {total['missed']}.",
-        "",
-        "| day | troubles | closing | rules broken | short of | duties missed | worth | worst windows |",
-        "| --- | --- | --- | --- | --- | ---: | ---: | ---: |",
-        *lines,
+        cell(lambda one: ", ".join(one.rules) or "none"),
+        ", ".join(now.short),
+        cell(lambda one: str(one.missed)),
+        cell(lambda one: f"{one.worth:.3f}"),
+        cell(lambda one: f"{one.worst:.3f}"),
     ]
 
 
@@ -250,7 +318,8 @@
 
 
 def table_table(told: Mapping[str, Any]) -> list[str]:
-    return days_table([pathlib.Path(one) for one in told["REPORT"]])
+    before = pathlib.Path(told["--before"]) if told["--before"] else None
+    return days_table(list(pathlib.Path(told["FOLDER"]).glob("*.json")), before)
 
 
 TABLES = {"draw": draw_table, "play": play_table, "table": table_table}
