--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -41,7 +41,7 @@
 CATCH_UP_S = 4.0  # a machine counts as lost for so long after its return
 DOWN_S = (0.2, 2.0)  # until what was killed is started again
 STOP_S = (0.3, 4.0)
-REGAIN_S = 60.0  # danger: where nothing is acknowledged for so long, the run ends and says so
+REGAIN_S = 180.0  # danger: where nothing is acknowledged for so long, the run ends and says so
 
 
 def body(version: int) -> bytes:
