Judge quotas by the weighted estimate first, ceilings that can be lowered behind it

Change: each request is judged by current + previous x weight against rate x length + burst, windows cut by the holder's clock, diffs by running counts; words are lowered while little is left and count as the higher one until heard; a tenant that becomes tight is told to all unasked; whoever has no total asks at the next tick; a new holder learns what the one before had left.

--- a/vetchusher/emulator/quota_world.py
+++ b/vetchusher/emulator/quota_world.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import accumulate
 
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.totals import Holder
@@ -21,7 +22,7 @@
 from vetchusher.waggle.wire_pb2 import Push, Totals
 
 MS, SECOND = 1_000, 1_000_000
-SYNC, BEAT = 150 * MS, 500 * MS
+SYNC, BEAT, TICK = 150 * MS, 500 * MS, 50 * MS
 SEEN = 60 * SECOND
 LEASE, TAKEOVER = 1_350 * MS, 1_500 * MS  # a cut-off holder answers so long; the next begins so much later
 BOUNDS = Bounds()
@@ -176,7 +177,7 @@
         home = self.rng.randrange(self.scene.regions)
         if demand.regional:
             drawn = [w if i.region == home else 0.0 for w, i in zip(drawn, self.ingresses, strict=True)]
-        return drawn
+        return list(accumulate(drawn))
 
     def after(self, delay: int, what: Callable[[], None]) -> None:
         self.serial += 1
@@ -236,6 +237,12 @@
         self.after(BEAT, lambda: self.beat(ingress, life))
 
     def sync(self, ingress: Ingress, life: int) -> None:
+        if ingress.life != life or ingress.tally is None:
+            return
+        self.send(ingress, life)
+        self.after(SYNC, lambda: self.sync(ingress, life))
+
+    def send(self, ingress: Ingress, life: int) -> None:
         if ingress.life != life or ingress.tally is None:
             return
         push = ingress.tally.push(ingress.now(self.at))
@@ -245,16 +252,31 @@
             self.count(data)
             if self.rng.random() >= self.loss:
                 self.after(self.way(ingress, post.region), lambda: self.asked(ingress, life, post, data))
-        self.after(SYNC, lambda: self.sync(ingress, life))
 
     def asked(self, ingress: Ingress, life: int, post: Post, data: bytes) -> None:
         if not self.reaches(ingress, post):
             return
         answer = post.holder.push(self.at + post.offset, Push.FromString(data)).SerializeToString()
         self.count(answer)
+        self.alarm(post)
         if self.rng.random() >= self.loss:
             self.after(self.way(ingress, post.region), lambda: self.answered(ingress, life, post, answer))
 
+    def alarm(self, post: Post) -> None:
+        alarm = post.holder.alarm(self.at + post.offset)
+        if alarm is None:
+            return
+        data = alarm.SerializeToString()
+        for ingress in self.ingresses:
+            self.count(data)
+            if self.rng.random() >= self.loss:
+                way = self.way(ingress, post.region)
+                self.after(way, lambda i=ingress, life=ingress.life: self.alarmed(i, life, post, data))  # type: ignore[misc]
+
+    def alarmed(self, ingress: Ingress, life: int, post: Post, data: bytes) -> None:
+        if ingress.tally is not None and ingress.life == life and self.reaches(ingress, post):
+            ingress.tally.alarm(ingress.now(self.at), Totals.FromString(data))
+
     def answered(self, ingress: Ingress, life: int, post: Post, data: bytes) -> None:
         if ingress.tally is not None and ingress.life == life and self.reaches(ingress, post):
             ingress.tally.heard(ingress.now(self.at), Totals.FromString(data))
@@ -269,12 +291,18 @@
         book = self.books[number]
         rate = max(0.01, book.demand.rate * book.demand.load * self.factors[number])
         self.after(int(self.rng.expovariate(rate) * SECOND), lambda: self.arrive(number))
-        ingress = self.rng.choices(self.ingresses, self.weights[number])[0]
+        weights = self.weights[number]
+        ingress = self.ingresses[bisect_left(weights, self.rng.random() * weights[-1])]
         if ingress.tally is None:
             return
         book.asked += 1
         book.gain(self.at)
-        if ingress.tally.admit(ingress.now(self.at), self.name(number)):
+        eager = ingress.tally.eager
+        passed = ingress.tally.admit(ingress.now(self.at), self.name(number))
+        if ingress.tally.eager and not eager:
+            life = ingress.life
+            self.after(self.rng.randrange(TICK), lambda: self.send(ingress, life))
+        if passed:
             book.passed.append(self.at)
             book.tokens -= 1.0
         elif book.tokens >= 1.0:
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -66,6 +66,8 @@
         kind = frame.WhichOneof("body")
         if kind == "beat_heard":
             self.carry_sends(self.follower.heard_beat(self.now(), frame.sender, 0, frame.beat_heard))
+        elif kind == "totals":  # unasked
+            self.tally.alarm(self.now(), frame.totals)
         elif kind == "beat":  # a neighbour's, which may be cut off from the core
             channel.reply(frame, wire.Frame(beat_heard=wire.BeatHeard(vector=vector_of(self.sources))))
         elif kind == "pull":
@@ -147,7 +149,8 @@
         now = self.now()
         self.carry_sends(self.follower.tick(now))
         self.front.fresh(self.follower.fresh(now))
-        if self.loop.time() - self.pushed_at >= SYNC_S and len(self.pushes) < MOST_PUSHES:
+        due = self.tally.eager or self.loop.time() - self.pushed_at >= SYNC_S
+        if due and len(self.pushes) < MOST_PUSHES:
             self.pushed_at = self.loop.time()
             primary, push = self.follower.primary(now), self.tally.push(now)
             if primary and push is not None:
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -143,6 +143,9 @@
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
+                alarm = self.holder.alarm(self.now())
+                if alarm is not None:
+                    self.tell_all(wire.Frame(totals=alarm))
         elif kind == "order":
             task = self.loop.create_task(self.settle_for(frame, channel))
             task.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -160,10 +163,11 @@
 
     def tell_watchers(self) -> None:
         """A grown vector, unasked: whoever lacks it pulls at once."""
-        heard = self.heard()
+        self.tell_all(wire.Frame(beat_heard=self.heard()))
+
+    def tell_all(self, frame: wire.Frame) -> None:
+        self.paths.sign(frame)
         for ip, channel in list(self.watchers.items()):
-            frame = wire.Frame(beat_heard=heard)
-            self.paths.sign(frame)
             if not channel.write(frame):
                 del self.watchers[ip]
 
--- a/vetchusher/limits/tally.py
+++ b/vetchusher/limits/tally.py
@@ -1,9 +1,11 @@
 """An ingress's side of the quotas inside the system: judged at once, told to the holder by a timer.
 
-Kin: Kong's two-window counts with batched totals; escrow (O'Neil 1986) for what may pass between two totals.
-The holder's word on a tenant is a ceiling on the running count here; the ceilings of all ingresses together
-never exceed what the quota has room for, so no two can pass the same room.  Without a fresh word an ingress
-has a part: 1/N of the rate, and what is kept back for those without a word.
+Two judges, each of which may refuse.  First the weighted estimate over two windows, each a pulled total and
+what has passed here since (kin: Kong's counts with batched totals).  It sees what all passed, a sync late.
+Behind it the guard (kin: escrow, O'Neil 1986): the holder's word on a tenant is a ceiling on the running
+count here, and the ceilings of all ingresses together never exceed what the quota has room for, so no two can
+pass the same room.  Without a fresh word an ingress has a part: 1/N of the rate, and what is kept back for
+those without a word.  docs/design/totals.md derives the bound.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 from vetchusher.settings.configuration import Tenant
 from vetchusher.waggle.wire_pb2 import Passed, Push, Total, Totals
 
-from .windows import Bounds, Counts, Shape, estimate, first_of, part_of, shape_of
+from .windows import Bounds, Clock, Pair, Shape, first_of, is_thin, part_of, shape_of
 
 STALE_US = 800_000  # us from sending a push that its answer's word holds
 UNANSWERED_US = 400_000  # us without an answer after which the next may come from a new holder
@@ -22,6 +24,7 @@
 ALONE_US = 58_000_000  # us without an answer after which the core may count this ingress as gone
 AGAIN_US = 300_000  # us after which a count is told again that no answer has confirmed
 MOST_SENT = 16  # pushes without an answer that are remembered
+LEAST_FIRST = 3.0  # requests that the estimate lets pass before a first total
 COME_BACK_US = 5_000_000  # us: a refused request is never told to wait longer
 NEVER = -(1 << 62)
 
@@ -51,8 +54,10 @@
     acked: int = 0
     known_to: int = 0
     wanted: bool = False
-    opens_at: int = NEVER
-    windows: Counts = field(default_factory=Counts)
+    alarmed: int = NEVER  # us on the holder's clock
+    low: float = 0.0  # below 0: what the store held at `low_at`
+    low_at: int = 0
+    pair: Pair = field(default_factory=lambda: Pair(0, 0))
 
 
 @dataclass(slots=True)
@@ -85,6 +90,13 @@
         self.answered_at = NEVER  # us: when the newest answered push was sent
         self.named_at = NEVER  # us: when this ingress first learnt that it is counted among them
         self.whole_at = NEVER  # the same, of those whose answer was whole
+        self.whole_told = NEVER  # us on the holder's clock: when it gave the newest of them
+        self.clock = Clock()  # the holder's
+        self.lately: set[str] = (
+            set()
+        )  # tenants with something to tell, or that passed in the last two windows
+        self.eager = False  # a push should not wait for the timer
+        self.by_estimate = self.by_ceiling = 0  # refused by each
 
     def configure(self, now: int, tenants: Mapping[str, Tenant]) -> None:
         """A lower limit holds at once: what is left of the part shrinks with it."""
@@ -97,12 +109,16 @@
             if own is None:
                 # Danger: a tenant that comes back must not count from below what the holder has heard.
                 own = Own(shape, self.serial, self.serial, now, pushed=self.serial, acked=self.serial)
+                own.pair = Pair((now + self.clock.offset) // shape.length_us, own.count)
                 self.begin(now, own)
             elif own.shape != shape:
                 left = max(0.0, own.ceiling - own.count)
                 own.ceiling = own.count + left * min(1.0, shape.depth / own.shape.depth)
+                if shape.length_us != own.shape.length_us:
+                    own.pair.move((now + self.clock.offset) // shape.length_us)
                 own.shape = shape
             self.own[name] = own
+        self.lately &= self.own.keys()
 
     def fleet(self, now: int, ingresses: int, named: bool) -> None:
         """How many may be serving, by the rows of the news.
@@ -125,23 +141,45 @@
         own = self.own.get(tenant)
         if own is None:
             return True
+        self.lately.add(tenant)
+        used = self.used(now, own)
+        if not own.pair.known and now >= own.until and is_thin(own.shape, self.ingresses):
+            self.eager = own.wanted = True  # read the total at once, off the request path
+        if used + 1.0 > self.limit(own):
+            own.wanted = not own.pair.known
+            self.by_estimate += 1
+            return False
         self.settle(now, own)
         alone = now - max(self.answered_at, self.named_at) > ALONE_US
         if own.ceiling - own.count < 1.0 or alone:
             own.wanted = True
+            self.by_ceiling += 1
             return False
         own.count += 1
         self.serial += 1
-        own.windows.add(now, own.shape.length_us, 1)
         return True
 
+    def used(self, now: int, own: Own) -> float:
+        """The weighted estimate, as known here."""
+        at, length = now + self.clock.offset, own.shape.length_us
+        own.pair.roll(at // length, own.count)
+        return own.pair.used(own.count, at % length, length)
+
+    def limit(self, own: Own) -> float:
+        """Of the estimate; before a first total, of what passed here alone."""
+        if own.pair.known:
+            return own.shape.limit
+        return max(LEAST_FIRST, own.shape.limit / max(1, self.ingresses))
+
     def settle(self, now: int, own: Own) -> None:
         """Bring the ceiling up to date where no word of the holder holds."""
         if now < own.until:
             return
-        if now - self.whole_at < STALE_US and own.named != self.heard_number and own.acked == own.count:
-            # In touch, all told, and the tenant is not short: what is kept back, a whole request at least.
-            own.ceiling, own.part_at = own.count + first_of(own.shape, self.ingresses), now
+        in_touch = now - self.whole_at < STALE_US and own.alarmed < self.whole_told
+        if in_touch and own.named != self.heard_number:
+            # In touch, and the tenant is not short: what is kept back, anew once all is told.
+            if own.acked == own.count:
+                own.ceiling, own.part_at = own.count + first_of(own.shape, self.ingresses), now
             return
         # Danger: cut off from the totals, all ingresses together must stay within the quota.
         part = part_of(own.shape, self.ingresses)
@@ -154,27 +192,40 @@
         if not self.own:
             return None
         late = now - self.answered_at > UNANSWERED_US
+        at = now + self.clock.offset
         passed = []
         told: dict[str, tuple[int, bool]] = {}
-        for name, own in self.own.items():
-            own.windows.roll(now, own.shape.length_us)
-            recent, before = own.windows.current, own.windows.previous
+        for name in list(self.lately):
+            own = self.own[name]
+            own.pair.roll(at // own.shape.length_us, own.count)
+            recent, before = own.pair.own(own.count)
             opening = late or own.known_to != self.holder
             again = own.count != own.acked and now - own.pushed_at > AGAIN_US
-            if not (own.count != own.pushed or own.wanted or again or (opening and recent + before)):
+            if own.count == own.acked and not (recent or before or own.wanted):
+                self.lately.discard(name)
+            low = min(0, int(own.low + own.shape.gained(now - own.low_at))) if opening else 0
+            if not (own.count != own.pushed or own.wanted or again or (opening and recent + before - low)):
                 continue
             own.pushed, own.pushed_at, own.wanted = own.count, now, False
             told[name] = own.count, opening
-            told_windows = {"recent": recent, "before": before} if opening else {}
-            passed.append(Passed(tenant=name, count=own.count, **told_windows))
+            told_windows = {"recent": recent, "before": before, "low": low} if opening else {}
+            passed.append(Passed(tenant=name, count=own.count, ended=own.pair.began, **told_windows))
         if not passed and now - self.sent_at < BEAT_US:
             return None
         self.number += 1
-        self.sent_at = now
+        self.sent_at, self.eager = now, False
         self.sent[self.number] = Sent(now, told)
         if len(self.sent) > MOST_SENT:
             del self.sent[next(iter(self.sent))]
-        return Push(node=self.node, life=self.life, number=self.number, passed=passed, holder=self.holder)
+        return Push(
+            node=self.node,
+            life=self.life,
+            number=self.number,
+            passed=passed,
+            holder=self.holder,
+            at_us=max(0, at) if self.clock.life == self.holder else 0,
+            heard=self.heard_number,
+        )
 
     def heard(self, now: int, totals: Totals) -> None:
         sent = self.sent.pop(totals.number, None)
@@ -183,8 +234,15 @@
         for number in [n for n in self.sent if n < totals.number]:
             del self.sent[number]
         news = totals.life != self.holder
+        if news:
+            self.whole_told = NEVER
+            for known in self.own.values():
+                known.alarmed = NEVER
         self.holder, self.heard_number, self.answered_at = totals.life, totals.number, sent.at
         self.ingresses = totals.ingresses or self.ingresses
+        if self.clock.heard(totals.life, sent.at, now, totals.now_us):
+            for known in self.own.values():
+                known.pair.move((now + self.clock.offset) // known.shape.length_us)
         for name, (count, opening) in sent.told.items():
             own = self.own.get(name)
             if own is not None and (opening or own.known_to == totals.life):
@@ -193,11 +251,26 @@
             if news:
                 self.back_to_parts(now)
             return
-        self.whole_at = sent.at
+        self.whole_at, self.whole_told = sent.at, totals.now_us
+        for total in totals.totals:
+            own = self.own.get(total.tenant)
+            if own is not None:
+                own.pair.roll((now + self.clock.offset) // own.shape.length_us, own.count)
+                index = totals.now_us // own.shape.length_us
+                own.pair.pull(
+                    index, total.current, total.previous, sent.told.get(total.tenant, (0, False))[0]
+                )
+                self.take(own, total, sent.at)
+
+    def alarm(self, now: int, totals: Totals) -> None:
+        """The holder says, unasked, of whom nothing passes without its word."""
+        if totals.life != self.holder:
+            return
         for total in totals.totals:
             own = self.own.get(total.tenant)
             if own is not None:
-                self.take(now, own, total, sent.at)
+                own.alarmed = totals.now_us
+                own.ceiling, own.part_at = min(own.ceiling, own.count), now
 
     def back_to_parts(self, now: int) -> None:
         """Danger: a holder that is new does not know what the one before it gave out."""
@@ -207,20 +280,17 @@
                 own.until = now
             self.settle(now, own)
 
-    def take(self, now: int, own: Own, total: Total, sent_at: int) -> None:
+    def take(self, own: Own, total: Total, sent_at: int) -> None:
         own.ceiling, own.until, own.part_at = float(total.ceiling), sent_at + STALE_US, sent_at
         own.named = self.heard_number
-        if total.length_us:
-            used = estimate(total.current, total.previous, total.into_us, total.length_us)
-            wait = max(0.0, (used + 1.0 - own.shape.depth) / own.shape.rate)
-            own.opens_at = now + int(wait * 1e6)
+        own.low, own.low_at = float(total.level), sent_at
 
     def room_at(self, now: int, tenant: str) -> int:
         """us after which a refused request may try again."""
         own = self.own.get(tenant)
         if own is None:
             return 0
-        wait = own.opens_at - now
+        wait = int((self.used(now, own) + 1.0 - self.limit(own)) / own.shape.rate * 1e6)
         if now >= own.until and now - self.whole_at >= STALE_US and self.ingresses:
-            wait = int((1.0 - own.ceiling + own.count) * self.ingresses / own.shape.rate * 1e6)
+            wait = max(wait, int((1.0 - own.ceiling + own.count) * self.ingresses / own.shape.rate * 1e6))
         return min(COME_BACK_US, max(self.sync_us, wait))
--- a/vetchusher/limits/totals.py
+++ b/vetchusher/limits/totals.py
@@ -3,7 +3,7 @@
 Held by the primary of the control state under its lease, made anew with each epoch, never on disk.  For each
 tenant a store of unused quota (it refills by the rate up to the depth, and all that passed is taken off):
 what it holds, and what may be given out ahead, is divided among the ingresses as ceilings on their running
-counts.  A ceiling is never lowered while it holds, so at each moment
+counts.  A ceiling told lower counts as the higher one until its ingress says that it heard, so at each moment
 
     passed everywhere <= passed as heard + what ceilings and parts still allow <= rate x time + depth + ahead
 """
@@ -19,7 +19,7 @@
 from vetchusher.waggle.wire_pb2 import Passed, Push, Total, Totals
 
 from .tally import NEVER, STALE_US
-from .windows import Bounds, Counts, Shape, first_of, kept_of, shape_of
+from .windows import Bounds, Counts, Shape, first_of, is_thin, kept_of, shape_of
 
 SILENT_US = 500_000  # us after which a part is kept back for an ingress that says nothing
 WHOLE_US = 1_000_000  # us after its start when a holder goes on without those that said nothing
@@ -29,6 +29,8 @@
 EVEN_PART = 0.2  # of what is divided: evenly among those that ask, as traffic moves
 NEED, NEED_LEAST = 0.7, 2.0  # of what it passed lately, and requests: all that an ingress is given
 WANT = 0.5  # requests that a refused one counts for, in the shares
+ALARM_US = 250_000  # us for which a tenant stays tight at least: by then each has asked
+MOST_TOLD = 8  # answers of which one ingress may have heard any
 MOST_LIVES = 4  # of one ingress that are remembered
 
 
@@ -43,12 +45,29 @@
     ceiling: int
     known: bool = True  # false: nothing was ever heard of it
     until: int = NEVER  # us until which the ceiling holds
+    told: list[tuple[int, int]] = field(default_factory=list)  # answers, with the ceiling that each told
     used: float = 0.0
     used_at: int = 0
 
     def left(self) -> int:
         return max(0, self.ceiling - self.count)
 
+    def tell(self, number: int, ceiling: int) -> None:
+        """Danger: an answer may be lost, so the highest of those that may be in force counts."""
+        if len(self.told) >= MOST_TOLD:
+            (_, first), (number_kept, second) = self.told[:2]
+            self.told[:2] = [(number_kept, max(first, second))]
+        self.told.append((number, ceiling))
+        self.ceiling = max(told for _, told in self.told)
+
+    def heard(self, number: int) -> None:
+        """The ingress has taken that answer: what older ones told holds no more."""
+        for place, (told, _) in enumerate(self.told):
+            if told == number:
+                del self.told[:place]
+                self.ceiling = max(told for _, told in self.told)
+                return
+
 
 @dataclass(slots=True)
 class Source:
@@ -68,6 +87,7 @@
 
     :param level: of the store; below 0: passed ahead
     :param out: what valid ceilings still allow, over `active` ingresses
+    :param low: below 0: what the holder before had left, as told by the ingresses, at `low_at`
     :param tight: too little for parts without a word: all are told
     """
 
@@ -78,7 +98,10 @@
     active: int = 0
     used: float = 0.0
     used_at: int = 0
+    low: float = 0.0
+    low_at: int = 0
     tight: bool = False
+    tight_at: int = NEVER
     ends: deque[tuple[int, Source, Given]] = field(default_factory=deque)
     windows: Counts = field(default_factory=Counts)
 
@@ -104,6 +127,7 @@
         self.whole = False
         self.silent = 0
         self.looked_at = NEVER
+        self.alarms: list[str] = []  # tenants that have become tight, not yet told to all
 
     def configure(self, now: int, tenants: Mapping[str, Tenant]) -> None:
         old, self.pools = self.pools, {}
@@ -156,6 +180,9 @@
                     # Danger: what the unheard passed before is not known either.
                     self.refill(now, pool)
                     pool.level -= pool.shape.depth * unheard / self.ingresses
+                    # Danger: two windows do not tell all that was given out ahead.
+                    left = max(pool.low, -pool.shape.ahead) + pool.shape.gained(now - pool.low_at)
+                    pool.level = min(pool.level, left) if pool.low < 0.0 else pool.level
 
     def refill(self, now: int, pool: Pool) -> None:
         """Bring a pool up to date: its store, and ceilings that have run out."""
@@ -193,17 +220,24 @@
             pool = self.pools.get(passed.tenant)
             if pool is not None:
                 self.refill(now, pool)
-                if self.count(now, pool, source, passed, push.holder == self.life):
+                knows = push.holder == self.life
+                if self.count(now, pool, source, passed, knows, push.at_us if knows else now):
                     asked.append(passed.tenant)
         source.kept = 0.0
+        for name, given in source.given.items():
+            pool = self.pools.get(name)
+            if pool is not None and given.until > NEVER and given.told:
+                pool.out -= given.left()
+                given.heard(push.heard)
+                pool.out += given.left()
         answer = Totals(number=push.number, life=self.life, whole=self.whole, ingresses=self.ingresses)
-        answer.silent = self.silent
+        answer.silent, answer.now_us = self.silent, now
         if self.whole and source is self.sources[source.node][-1]:
             named = set(asked)
-            answer.totals.extend(self.word(now, name, source, True) for name in asked)
+            answer.totals.extend(self.word(now, name, source, True, push.number) for name in asked)
             for name, pool in self.pools.items():
-                if name not in named and self.is_tight(now, pool):
-                    answer.totals.append(self.word(now, name, source, False))
+                if name not in named and self.is_tight(now, name, pool):
+                    answer.totals.append(self.word(now, name, source, False, push.number))
         return answer
 
     def source_of(self, now: int, push: Push) -> Source:
@@ -230,11 +264,14 @@
                 pool.level -= given.left()
                 given.until = NEVER
 
-    def count(self, now: int, pool: Pool, source: Source, passed: Passed, knows: bool) -> bool:
+    def count(self, now: int, pool: Pool, source: Source, passed: Passed, knows: bool, at: int) -> bool:
         """Add what is new in a running count.
 
+        :param at: us on this clock when it was told: which windows are meant
         :return: false where it cannot be used: it counts from before this holder's time, not saying how much
         """
+        if passed.low < min(0.0, pool.low + pool.shape.gained(now - pool.low_at)):
+            pool.low, pool.low_at = float(passed.low), now
         given = source.given.get(passed.tenant)
         told = passed.recent + passed.before
         if given is None or not given.known:
@@ -254,47 +291,66 @@
             pool.out += given.left() if given.until > NEVER else 0
         kept = pool.shape.gained(int(source.kept)) / self.ingresses
         pool.level -= max(0.0, new - kept)
-        pool.windows.add(now, pool.shape.length_us, new)
+        index = min(at, now) // pool.shape.length_us
+        pool.windows.roll(now // pool.shape.length_us)
+        fresh = min(new, passed.count - passed.ended)
+        pool.windows.add(index - 1, new - fresh)
+        pool.windows.add(index, fresh)
         gain = new or WANT
         given.used = faded(given.used, now - given.used_at) + gain
         pool.used = faded(pool.used, now - pool.used_at) + gain
         given.used_at = pool.used_at = now
         return True
 
-    def is_tight(self, now: int, pool: Pool) -> bool:
+    def is_tight(self, now: int, name: str, pool: Pool) -> bool:
         """Whether parts without a word cannot be borne."""
         self.refill(now, pool)
         kept = kept_of(pool.shape, self.ingresses)
         if pool.tight:
             # Danger: those told to pass nothing have their parts again when it ends.
             kept += max(0.0, pool.out - pool.active * first_of(pool.shape, self.ingresses))
-        pool.tight = pool.level + pool.shape.ahead < kept
+        was, pool.tight = pool.tight, pool.level + pool.shape.ahead < kept
+        pool.tight = pool.tight or now - pool.tight_at < ALARM_US
+        if pool.tight and not was:
+            pool.tight_at = now
+            if is_thin(pool.shape, self.ingresses):
+                # Danger: not all firsts are kept back: whoever has one must hear before it next asks.
+                self.alarms.append(name)
         return pool.tight
 
-    def word(self, now: int, name: str, source: Source, asked: bool) -> Total:
+    def alarm(self, now: int) -> Totals | None:
+        """To all ingresses, unasked: tenants of whom nothing passes without a word."""
+        if not self.alarms:
+            return None
+        told = Totals(life=self.life, now_us=now, totals=[Total(tenant=name) for name in self.alarms])
+        self.alarms.clear()
+        return told
+
+    def word(self, now: int, name: str, source: Source, asked: bool, number: int) -> Total:
         """What a source may pass of a tenant, as a ceiling on its running count."""
         pool = self.pools[name]
-        tight = self.is_tight(now, pool)
+        tight = self.is_tight(now, name, pool)
         given = source.given.get(name)
         if given is None:
             # A ceiling below any count.
             given = source.given[name] = Given(0, 0, known=False, used_at=now)
         may = self.share(pool, given, now, asked)
-        held = given.until > NEVER
-        if held:
+        if given.until > NEVER:
             pool.out -= given.left()
         else:
             pool.active += 1
-            given.ceiling = given.count
-        given.ceiling = max(given.ceiling, given.count + may)
+            given.told.clear()
+        ceiling = given.count + may
+        if not tight and given.told:
+            ceiling = max(ceiling, given.told[-1][1])
+        given.tell(number, ceiling)
         given.until = now + STALE_US
         pool.out += given.left()
         pool.ends.append((given.until, source, given))
-        total = Total(tenant=name, ceiling=given.ceiling)
-        if tight:
-            pool.windows.roll(now, pool.shape.length_us)
-            total.current, total.previous = pool.windows.current, pool.windows.previous
-            total.into_us, total.length_us = now % pool.shape.length_us, pool.shape.length_us
+        pool.windows.roll(now // pool.shape.length_us)
+        windows, level = pool.windows, min(0, int(pool.level))
+        total = Total(tenant=name, ceiling=ceiling, level=level)
+        total.current, total.previous = windows.current, windows.previous
         return total
 
     def share(self, pool: Pool, given: Given, now: int, asked: bool) -> int:
--- a/vetchusher/limits/windows.py
+++ b/vetchusher/limits/windows.py
@@ -11,6 +11,7 @@
 # what any rule looks at.
 LEAST_S, MOST_S = 1.0, 10.0
 DEPTH_S = 0.2  # a store of less than what comes in this time refuses by chance alone
+DRIFT = 1_000  # steady clocks part by at most one in so many
 LAG_PART = 0.75  # of what the rule allows beyond rate and depth: given out ahead; the rest is for late news
 
 
@@ -38,15 +39,17 @@
 class Shape:
     """What a tenant may.
 
-    :param depth: most that may be stored unused; the limit of a window
+    :param depth: most that may be stored unused
     :param ahead: beyond depth, what may be given out without breaking the bound
     :param length_us: of a window
+    :param limit: of the weighted estimate over two windows
     """
 
     rate: float
     depth: float
     ahead: float
     length_us: int
+    limit: float
 
     def gained(self, time_us: int) -> float:
         return self.rate * time_us / 1e6
@@ -65,15 +68,15 @@
     depth = max(1.0, burst, min(DEPTH_S * rate, beyond / 2))
     ahead = LAG_PART * max(0.0, beyond - depth)
     length = min(MOST_S, max(LEAST_S, depth / rate))
-    return Shape(rate, depth, ahead, int(length * 1e6))
+    # Whoever keeps to rate and depth passes c + p <= rate x (length + into) + depth in this window and the
+    # last, c <= rate x into + depth in this one: c + p x weight never exceeds rate x length + depth.
+    return Shape(rate, depth, ahead, int(length * 1e6), rate * length + depth)
 
 
 PART_KEPT = 0.6  # of depth and ahead: what ingresses without a word may take, all together
-RUSH, RUSH_S = 6.0, 0.3  # times the rate that a tenant may suddenly send, and how long until all know
-LOOSE, LOOSE_FIRST = (
-    0.8,
-    3.0,
-)  # of depth and ahead: a smaller rush is borne, whoever takes it; then so many each
+RUSH, RUSH_S = 9.0, 0.16  # times the rate that a tenant may suddenly send, and how long until all know
+LOOSE = 0.95  # of depth and ahead: a smaller rush is borne, whoever takes it
+LOOSE_FIRST = 3.0  # requests each, then
 
 
 def part_of(shape: Shape, ingresses: int) -> float:
@@ -92,25 +95,104 @@
     return max(LOOSE_FIRST if loose else 1.0, part_of(shape, ingresses) // 1.0)
 
 
+def is_thin(shape: Shape, ingresses: int) -> bool:
+    """Whether the firsts of all ingresses are more than is kept back for them."""
+    return ingresses * first_of(shape, ingresses) > rush_of(shape)
+
+
 def kept_of(shape: Shape, ingresses: int) -> float:
     """What is kept back for ingresses without a word: what they may take, or what can come to them."""
     return min(ingresses * first_of(shape, ingresses), rush_of(shape))
 
 
 class Counts:
-    """What passed in the current window and in the one before, on the clock of whoever counts."""
+    """What passed in the current window and in the one before, by the index of the current one."""
 
     __slots__ = ("current", "index", "previous")
 
     def __init__(self) -> None:
         self.index, self.current, self.previous = 0, 0, 0
 
-    def roll(self, now: int, length_us: int) -> None:
-        index = now // length_us
-        if index != self.index:
+    def roll(self, index: int) -> None:
+        if index > self.index:
             self.previous = self.current if index == self.index + 1 else 0
             self.current, self.index = 0, index
 
-    def add(self, now: int, length_us: int, amount: int) -> None:
-        self.roll(now, length_us)
-        self.current += amount
+    def add(self, index: int, amount: int) -> None:
+        """What came in before the last window is as old as what is forgotten."""
+        if index >= self.index:
+            self.roll(index)
+            self.current += amount
+        elif index == self.index - 1:
+            self.previous += amount
+
+
+class Pair:
+    """One key's two windows at an ingress: of each a pulled total, and what has passed here since.
+
+    What passed here is told as a running count, so a diff is the count less what the total holds of it; none
+    is lost by a push without an answer, nor added twice.
+
+    :param total, before: pulled, of the current window and of the last
+    :param pulled: the running count that those totals hold
+    :param began, last_began: the running count when these windows began
+    :param known: a total was pulled in one of them
+    """
+
+    __slots__ = ("before", "began", "index", "known", "last_began", "pulled", "total")
+
+    def __init__(self, index: int, count: int) -> None:
+        self.index, self.known = index, False
+        self.total, self.before = 0, 0
+        self.pulled = self.began = self.last_began = count
+
+    def roll(self, index: int, count: int) -> None:
+        if index <= self.index:
+            return
+        if index == self.index + 1:
+            self.before, self.last_began = self.total, self.began
+        else:
+            self.before, self.last_began, self.known = 0, count, False
+        self.total, self.began, self.index = 0, count, index
+
+    def move(self, index: int) -> None:
+        """The same windows by another clock."""
+        self.index = index
+
+    def pull(self, index: int, current: int, previous: int, pulled: int) -> None:
+        """Totals of the windows that ended with `index`: they replace those stored."""
+        if index == self.index:
+            self.total, self.before = current, previous
+        elif index == self.index - 1:
+            self.before = current
+        else:
+            return
+        self.known = True
+        self.pulled = max(self.pulled, pulled)
+
+    def own(self, count: int) -> tuple[int, int]:
+        """Passed here, in the current window and in the last."""
+        return count - self.began, self.began - self.last_began
+
+    def used(self, count: int, into_us: int, length_us: int) -> float:
+        diff = count - max(self.pulled, self.began)
+        diff_before = max(0, self.began - max(self.pulled, self.last_began))
+        return estimate(self.total + diff, self.before + diff_before, into_us, length_us)
+
+
+class Clock:
+    """Another process's steady clock, as read from its answers: an answer's time was in the middle of the way
+    there and back, give or take half of that."""
+
+    __slots__ = ("at", "error", "life", "offset")
+
+    def __init__(self) -> None:
+        self.life, self.offset, self.error, self.at = 0, 0, 0, 0
+
+    def heard(self, life: int, sent_at: int, now: int, told: int) -> bool:
+        """:return: whether it is another clock than before"""
+        error = (now - sent_at) // 2
+        other = life != self.life
+        if other or error <= self.error + (now - self.at) // DRIFT:
+            self.life, self.offset, self.error, self.at = life, told - sent_at - error, error, now
+        return other
