--- a/benchmarks/totals.py
+++ b/benchmarks/totals.py
@@ -259,7 +259,7 @@
 
 
 def bucket(rate: float, seed: int) -> Iterator[int]:
-    """Times (us) of a tenant at 0.9 of its rate that comes in clumps, thinned to what rate and burst allow."""
+    """Times (us) of a tenant that comes in clumps, at 0.9 of its rate, thinned to what it may."""
     rng, at, tokens, last = random.Random(seed), 0, rate, 0
     while at < 400 * SECOND:
         at += int(rng.expovariate(rate * 0.3) * SECOND)
