--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -196,6 +196,21 @@
         self.assertTrue(later.pools["t"].level < 5.0, later.pools["t"].level)
 
 
+class Standing(TestCase):
+    def test_what_the_bound_stands_on_is_told_once_at_each_change(self):
+        (tally,), holder = in_touch()
+        first = holder.standing()
+        figures = [first[key] for key in ("whole", "ingresses", "silent", "tenants")]
+        self.assertEqual([1, 1, 0, 1], figures)
+        self.assertTrue(0.8 < float(first["bound"]) < 1.0, first)
+        self.assertIsNone(holder.standing())
+        holder.fleet(500 * MS, {f"e{n}": 0 for n in range(86)})
+        self.assertEqual(86, holder.standing()["ingresses"])
+        self.assertIsNotNone(tally.standing(300 * MS))
+        self.assertIsNone(tally.standing(310 * MS))
+        self.assertFalse(tally.standing(5_000 * MS) is None or tally.stood)
+
+
 class Parts(TestCase):
     def test_before_any_total_only_those_whom_the_news_names_pass_and_only_their_part(self):
         #  after a loss of power, no holder
--- a/vetchusher/events.py
+++ b/vetchusher/events.py
@@ -37,6 +37,8 @@
     INGRESS_LOST = 602
     TOTALS_HELD = 701
     TOTALS_LOST = 702
+    TOTALS_WHOLE = 703
+    TOTALS_LEFT = 704
 
 
 @dataclass(slots=True, frozen=True)
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -157,6 +157,9 @@
                 task = self.loop.create_task(self.push(primary, push))
                 self.pushes.add(task)
                 task.add_done_callback(self.pushes.discard)
+        standing = self.tally.standing(now)
+        if standing is not None:
+            self.note(Note(Event.TOTALS_WHOLE if self.tally.stood else Event.TOTALS_LOST, standing))
         self.paths.keep({*self.follower.contacts, *self.follower.neighbours})
 
     async def push(self, primary: str, push: wire.Push) -> None:
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -269,6 +269,9 @@
             self.end_duties()
         if self.holder is not None:
             self.holder.fleet(now, self.presence.may_serve())
+            standing = self.holder.standing()
+            if standing is not None:
+                self.note(Note(Event.TOTALS_HELD, {"epoch": self.holder.life, **standing}))
             self.tell_ingresses()
         self.carry_sends(self.follower.tick(now))
         if self.shelf is not None and (self.shelving is None or self.shelving.done()):
@@ -301,7 +304,6 @@
             self.holder.fleet(now, self.presence.may_serve())
             if self.configuration is not None:
                 self.holder.configure(now, self.configuration.tenants)
-            self.note(Note(Event.TOTALS_HELD, {"epoch": epoch}))
         self.duty = self.loop.create_task(self.read_list(epoch))
 
     def tell_ingresses(self) -> None:
@@ -317,7 +319,7 @@
         self.holder = None
         if self.duty is not None:
             self.duty.cancel()
-        self.note(Note(Event.TOTALS_LOST))
+        self.note(Note(Event.TOTALS_LEFT))
 
     def on_duty(self, epoch: int) -> bool:
         return self.member.holds(self.now()) and self.member.epoch == epoch
--- a/vetchusher/limits/tally.py
+++ b/vetchusher/limits/tally.py
@@ -95,6 +95,7 @@
         self.lately: set[str] = (
             set()
         )  # tenants with something to tell, or that passed in the last two windows
+        self.stood = False  # whether whole totals came, when last asked
         self.eager = False  # a push should not wait for the timer
         self.by_estimate = self.by_ceiling = 0  # refused by each
 
@@ -272,6 +273,23 @@
                 own.alarmed = totals.now_us
                 own.ceiling, own.part_at = min(own.ceiling, own.count), now
 
+    def standing(self, now: int) -> dict[str, object] | None:
+        """Where it has changed whether whole totals come: figures for the log, and what a part then is."""
+        whole = now - self.whole_at < STALE_US
+        if whole == self.stood:
+            return None
+        self.stood = whole
+        parts = [part_of(own.shape, self.ingresses) for own in self.own.values()]
+        least, most = min(parts, default=0.0), max(parts, default=0.0)
+        return {
+            "ingresses": self.ingresses,
+            "holder": self.holder,
+            "tenants": len(parts),
+            "parts": f"{least:.1f}..{most:.1f}",
+            "by_estimate": self.by_estimate,
+            "by_ceiling": self.by_ceiling,
+        }
+
     def back_to_parts(self, now: int) -> None:
         """Danger: a holder that is new does not know what the one before it gave out."""
         self.whole_at = NEVER
--- a/vetchusher/limits/totals.py
+++ b/vetchusher/limits/totals.py
@@ -19,7 +19,7 @@
 from vetchusher.waggle.wire_pb2 import Passed, Push, Total, Totals
 
 from .tally import NEVER, STALE_US
-from .windows import Bounds, Counts, Shape, first_of, is_thin, kept_of, shape_of
+from .windows import Bounds, Counts, Shape, first_of, is_thin, kept_of, shape_of, used_of
 
 SILENT_US = 500_000  # us after which a part is kept back for an ingress that says nothing
 WHOLE_US = 1_000_000  # us after its start when a holder goes on without those that said nothing
@@ -128,9 +128,12 @@
         self.whole = False
         self.silent = 0
         self.looked_at = NEVER
+        self.configured = 0  # times
+        self.stood: tuple[object, ...] = ()
         self.alarms: list[str] = []  # tenants that have become tight, not yet told to all
 
     def configure(self, now: int, tenants: Mapping[str, Tenant]) -> None:
+        self.configured += 1
         old, self.pools = self.pools, {}
         for name, tenant in tenants.items():
             shape = shape_of(tenant.rate_per_s, tenant.burst_size, self.bounds)
@@ -165,6 +168,31 @@
     def ingresses(self) -> int:
         return max(1, len(self.nodes | self.sources.keys()))
 
+    def standing(self) -> dict[str, object] | None:
+        """What the bound stands on, where that has changed: figures for the log.
+
+        `bound`: most that any tenant may pass in a window, as a part of what the rule allows; `thin`: tenants
+        for whom this rests on how fast traffic can rise (docs/design/totals.md).
+        """
+        stands = (
+            self.whole,
+            self.ingresses,
+            self.silent > 0,
+            tuple(pool.shape for pool in self.pools.values()),
+        )
+        if stands == self.stood:
+            return None
+        self.stood = stands
+        shapes = stands[3]
+        return {
+            "ingresses": self.ingresses,
+            "whole": int(self.whole),
+            "silent": self.silent,
+            "tenants": len(shapes),
+            "thin": sum(is_thin(shape, self.ingresses) for shape in shapes),
+            "bound": f"{max((used_of(shape, self.bounds) for shape in shapes), default=0.0):.2f}",
+        }
+
     # -- what is left -----------------------------------------------------------------
 
     def look(self, now: int) -> None:
--- a/vetchusher/limits/windows.py
+++ b/vetchusher/limits/windows.py
@@ -43,6 +43,7 @@
     :param ahead: beyond depth, what may be given out without breaking the bound
     :param length_us: of a window
     :param limit: of the weighted estimate over two windows
+    :param beyond: what the rule allows in its window above the rate
     """
 
     rate: float
@@ -50,6 +51,7 @@
     ahead: float
     length_us: int
     limit: float
+    beyond: float
 
     def gained(self, time_us: int) -> float:
         return self.rate * time_us / 1e6
@@ -70,7 +72,13 @@
     length = min(MOST_S, max(LEAST_S, depth / rate))
     # Whoever keeps to rate and depth passes c + p <= rate x (length + into) + depth in this window and the
     # last, c <= rate x into + depth in this one: c + p x weight never exceeds rate x length + depth.
-    return Shape(rate, depth, ahead, int(length * 1e6), rate * length + depth)
+    return Shape(rate, depth, ahead, int(length * 1e6), rate * length + depth, beyond)
+
+
+def used_of(shape: Shape, bounds: Bounds) -> float:
+    """Most that may pass in the rule's window, as a part of what it allows."""
+    held = shape.rate * bounds.window_s
+    return (held + shape.depth + shape.ahead) / (held + shape.beyond)
 
 
 PART_KEPT = 0.6  # of depth and ahead: what ingresses without a word may take, all together
