--- a/benchmarks/quota_days.py
+++ b/benchmarks/quota_days.py
@@ -4,9 +4,9 @@
     python -m benchmarks.quota_days play SITE... --into FOLDER --bench PROGRAM --why TEXT [--jobs N]
     python -m benchmarks.quota_days table REPORT... [--keep FILE]
 
-Three of four days have a hot tenant beside what cuts or kills; each fourth has no cut and nobody hot, for what
-is refused within quotas.  Only troubles that the site offers are drawn; traffic, floors and marks are borrowed
-from the site file as it stands.
+Three of four days have a hot tenant beside what cuts or kills; each fourth has no cut and nobody hot, for
+what is refused within quotas.  Only troubles that the site offers are drawn; traffic, floors and marks are
+borrowed from the site file as it stands.
 """
 
 from __future__ import annotations
