--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -75,6 +75,8 @@
         kind = frame.WhichOneof("body")
         if kind == "beat_heard":
             self.carry_sends(self.follower.heard_beat(self.now(), frame.sender, 0, frame.beat_heard))
+        elif kind == "totals":  # unasked
+            self.tally.alarm(self.now(), frame.totals)
         elif kind == "beat":  # a neighbour's, which may be cut off from the core
             channel.reply(frame, wire.Frame(beat_heard=wire.BeatHeard(vector=vector_of(self.sources))))
         elif kind == "pull":
@@ -185,13 +187,17 @@
         self.carry_sends(self.follower.tick(now))
         self.look_fresh(now)
         self.front.choice.kept_until = self.follower.primary_heard_at(now) + KEPT_LEASE_US
-        if self.loop.time() - self.pushed_at >= SYNC_S and len(self.pushes) < MOST_PUSHES:
+        due = self.tally.eager or self.loop.time() - self.pushed_at >= SYNC_S
+        if due and len(self.pushes) < MOST_PUSHES:
             self.pushed_at = self.loop.time()
             primary, push = self.follower.primary(now), self.tally.push(now)
             if primary and push is not None:
                 task = self.loop.create_task(self.push(primary, push))
                 self.pushes.add(task)
                 task.add_done_callback(self.pushes.discard)
+        standing = self.tally.standing(now)
+        if standing is not None:
+            self.note(Note(Event.TOTALS_WHOLE if self.tally.stood else Event.TOTALS_LOST, standing))
         self.paths.keep({*self.follower.contacts, *self.follower.neighbours})
 
     async def push(self, primary: str, push: wire.Push) -> None:
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -155,6 +155,9 @@
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
+                alarm = self.holder.alarm(self.now())
+                if alarm is not None:
+                    self.tell_all(wire.Frame(totals=alarm))
         elif kind == "order":
             task = self.loop.create_task(self.settle_for(frame, channel))
             task.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -173,10 +176,11 @@
 
     def tell_watchers(self) -> None:
         """A grown vector, unasked: whoever lacks it pulls at once."""
-        heard = self.heard()
+        self.tell_all(wire.Frame(beat_heard=self.heard()))
+
+    def tell_all(self, frame: wire.Frame) -> None:
+        self.paths.sign(frame)
         for ip, channel in list(self.watchers.items()):
-            frame = wire.Frame(beat_heard=heard)
-            self.paths.sign(frame)
             if not channel.write(frame):
                 del self.watchers[ip]
 
@@ -290,6 +294,9 @@
             self.end_duties()
         if self.holder is not None:
             self.holder.fleet(now, self.presence.may_serve())
+            standing = self.holder.standing()
+            if standing is not None:
+                self.note(Note(Event.TOTALS_HELD, {"epoch": self.holder.life, **standing}))
             self.tell_ingresses()
         self.carry_sends(self.follower.tick(now))
         if self.shelf is not None and (self.shelving is None or self.shelving.done()):
@@ -324,7 +331,6 @@
             self.holder.fleet(now, self.presence.may_serve())
             if self.configuration is not None:
                 self.holder.configure(now, self.configuration.tenants)
-            self.note(Note(Event.TOTALS_HELD, {"epoch": epoch}))
         self.duty = self.loop.create_task(self.read_list(epoch))
 
     def tell_ingresses(self) -> None:
@@ -340,7 +346,7 @@
         self.holder = None
         if self.duty is not None:
             self.duty.cancel()
-        self.note(Note(Event.TOTALS_LOST))
+        self.note(Note(Event.TOTALS_LEFT))
 
     def on_duty(self, epoch: int) -> bool:
         return self.member.holds(self.now()) and self.member.epoch == epoch
