--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -14,26 +14,31 @@
 from vetchusher.events import Event, Note
 from vetchusher.kinds import Fault, Kind
 from vetchusher.limits.totals import Holder
+from vetchusher.limits.windows import Bounds as QuotaBounds
 from vetchusher.scouts.reader import Reader
 from vetchusher.settings.configuration import Configuration
 from vetchusher.settings.node import NodeSettings
 from vetchusher.waggle import wire_pb2 as wire
 from vetchusher.waggle.follower import Follower, Send
-from vetchusher.waggle.ledger import NEVER, Ledger, news_for, vector_of
-from vetchusher.waggle.rows import rows_of
+from vetchusher.waggle.ledger import NEVER, Ledger, vector_of
+from vetchusher.waggle.rows import evacuation_rows
 from vetchusher.waggle.shelf import Shelf, whole
 
 from . import orders
+from .applying import Applying
 from .following import Following
+from .mending import LETTERS, Mending
 from .paths import Channel, Paths
 from .platform import Platform
-from .reading import Reading
+from .reading import Read, Reading
 from .saving import Saving
+from .telling import Telling
 
 TICK_S = 0.05
 READ_PAUSE_S = 0.6  # between two whole reads of the list
 PASS_ON_S = 2.5  # for the primary's answer to an order passed on
 MOST_WATCHERS = 2048
+BACK_US = 500_000  # when to send again what a disk refused; it is asked as often (`Timing.retry_us`)
 LAST_VOTE_S = 0.5  # for others to take over when this one ends
 SHELF_PAUSE_S = 0.25  # between two writes of what has been told
 
@@ -63,16 +68,19 @@
             rng,
             now(),
             node.tolerance.machine_losses,
+            store.floor,
         )
         self.saving = Saving(loop, store, self.saved, note)
+        self.mending = Mending(node.ip_address, self.member, self.saving, rng, now, self.feed, self.carry)
         self.reading = Reading(loop)
         self.presence = Presence()
         self.comb, self.scouts, self.entrance = Ledger("comb"), Ledger("scouts"), Ledger("entrance")
         self.sources = {led.source: led for led in (self.comb, self.scouts, self.entrance)}
         # A witness has no copy of the control state: what it tells of it is pulled like the rest.
         self.follower = Follower(seeds, self.sources, node.ip_address)
+        self.telling = Telling(self.sources)
+        self.applying = Applying(loop, self.reading, self.tell_state, note)
         self.configuration: Configuration | None = None
-        self.configuration_raw = b""
         self.watchers: dict[str, Channel] = {}  # by ip: to whom a grown vector is told unasked
         self.orders: dict[int, asyncio.Future[Result[bytes, Fault]]] = {}
         self.next_order = 1
@@ -107,26 +115,19 @@
                 if future is not None and not future.done():
                     future.set_result(outcome)
             case comb.Committed(state):
-                self.committed(state)
+                self.applying.committed(state)
             case Note():
                 self.note(output)
 
     def saved(self, token: int, good: bool) -> None:
         self.feed(comb.Saved(token, good))
 
-    def committed(self, state: wire.CombState) -> None:
-        """Tell what has become part of the state: rows of the configuration, and zones evacuated."""
-        if state.version and state.configuration != self.configuration_raw:
-            match self.reading.known(state.configuration):
-                case Success(configuration):
-                    self.configuration, self.configuration_raw = configuration, state.configuration
-                case Failure(fault):  # it was checked before it was stored: this program is older
-                    self.note(Note(Event.NEWS_UNUSABLE, {"why": fault.text}))
-                    return
+    def tell_state(self, state: wire.CombState, read: Read | None) -> None:
+        """What has become part of the state: rows of the configuration, and zones evacuated."""
         rows: dict[str, bytes] = {}
-        if self.configuration is not None:
-            evacuated = {one.zone: one.on for one in state.evacuations}
-            rows = rows_of(self.configuration, self.configuration_raw, evacuated)
+        if read is not None:
+            self.configuration = read.configuration
+            rows = {**read.rows, **evacuation_rows({one.zone: one.on for one in state.evacuations})}
         if self.comb.publish((state.stamp.epoch, state.stamp.seq), rows):
             if self.holder is not None and self.configuration is not None:
                 self.holder.configure(self.now(), self.configuration.tenants)
@@ -137,18 +138,20 @@
     def serve(self, frame: wire.Frame, channel: Channel) -> None:
         kind = frame.WhichOneof("body")
         if kind == "comb":
-            self.feed(comb.Heard(frame.sender, frame.zone, frame.comb))
+            heard = comb.Heard(frame.sender, frame.zone, frame.comb)
+            if frame.comb.WhichOneof("kind") in LETTERS:
+                self.mending.heard(heard)
+            else:
+                self.feed(heard)
         elif kind == "beat":
             for note in self.presence.heard(self.now(), frame.beat):
                 self.note(note)
             if frame.beat.ip in self.watchers or len(self.watchers) < MOST_WATCHERS:
                 self.watchers[frame.beat.ip] = channel
-            heard = self.heard()
-            if frame.beat.wants_news:
-                heard.news.CopyFrom(news_for(self.sources, frame.beat.vector))
-            channel.reply(frame, wire.Frame(beat_heard=heard))
+            news = self.telling.news(frame.beat.vector, with_beat=True) if frame.beat.wants_news else b""
+            channel.reply(frame, wire.Frame(beat_heard=self.heard()), news)
         elif kind == "pull":
-            channel.reply(frame, wire.Frame(news=news_for(self.sources, frame.pull.vector)))
+            channel.reply(frame, wire.Frame(), self.telling.news(frame.pull.vector))
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
@@ -164,7 +167,8 @@
             vector=vector_of(self.sources),
             members=self.member.members,
             primary=self.member.primary,
-            in_force=self.member.in_force(now, self.comb.stamp),
+            # Danger: what is committed and not told yet would be taken for old.
+            in_force=self.member.in_force(now, self.comb.stamp) and not self.applying.behind,
         )
 
     def tell_watchers(self) -> None:
@@ -205,6 +209,11 @@
                 return outcome.map(lambda _: orders.EvacuationSet(zone, on))
         return Failure(Fault(Kind.NOT_FOUND, "no such call"))
 
+    def refused(self, call: orders.Call, fault: Fault) -> None:
+        """An operator got no 2xx."""
+        told = {"call": type(call).__name__, "status": fault.status, "why": fault.text}
+        self.note(Note(Event.ORDER_REFUSED, told))
+
     async def decide(self, order: comb.Order, passed: wire.OrderAsked) -> Result[bytes, Fault]:
         """Settle it here where this is the primary; else pass it on once."""
         if self.member.holds(self.now()):
@@ -226,10 +235,16 @@
         self.orders[number] = future
         try:
             self.feed(comb.Submitted(number, order))
-            return await future
+            return (await future).alt(self.explained)
         finally:
             del self.orders[number]
 
+    def explained(self, fault: Fault) -> Fault:
+        """What was not settled may have waited for a disk."""
+        if fault.kind is not Kind.NOT_SETTLED or not self.saving.refused:
+            return fault
+        return Fault(fault.kind, f"{fault.text}; the disk here refuses: {self.saving.refused}", BACK_US)
+
     async def settle_for(self, frame: wire.Frame, channel: Channel) -> None:
         """An order that another core machine passed on: settled here or not at all."""
         outcome: Result[bytes, Fault] = Failure(Fault(Kind.NOT_SETTLED, "not the primary"))
@@ -265,6 +280,7 @@
     def tick(self) -> None:
         now = self.now()
         self.feed(comb.Tick())
+        self.mending.tick()
         for note in self.presence.sweep(now):
             self.note(note)
         holds = self.member.holds(now)
@@ -302,7 +318,9 @@
         for name in self.entrance.rows:
             self.presence.remember(now, name)
         if self.holder is None:
-            self.holder = Holder(epoch, now)
+            bounds = self.node.bounds
+            quota = QuotaBounds(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
+            self.holder = Holder(epoch, now, quota)
             self.holder.fleet(now, self.presence.may_serve())
             if self.configuration is not None:
                 self.holder.configure(now, self.configuration.tenants)
@@ -391,5 +409,7 @@
         if self.duty is not None:
             self.duty.cancel()
         await self.platform.close()
+        self.applying.close()
+        self.mending.close()
         self.saving.close()
         self.reading.close()
