--- a/vetchusher/events.py
+++ b/vetchusher/events.py
@@ -26,6 +26,10 @@
     MEMBER_JOINED = 208
     ORDER_REFUSED = 209
     COPIES_HELD = 210
+    ROWS_SPOILT = 220  # on the own disk
+    ROWS_MENDED = 221
+    COPIES_DIFFER = 222
+    COPY_MENDED = 223
     NEWS_TAKEN = 301
     NEWS_UNUSABLE = 302
     FELLOW_LOST = 303
