Keep each ingress to a patch of servers, and judge a server by what it fails and keeps silent

Cause: on the grown sites an ingress draws from 47 servers of its region and sends 5 to 10 requests a second, so it meets a server once in 6 s. Connections are not trusted in between (17,871 new ones for 29,000 requests), a sick server has to be learnt by each of 86 ingresses anew, and one that hangs was never blamed for what a second copy answered.

Ruled out: constants of idle time (a request that may run once stays within a third of it), a subset for each ingress from a sorted list (one ingress less moves most of them).

Change: each server is worked by as many ingresses of a region as make patches of 8 on average, named by rendezvous hashing, its own zone's first; beyond the patch only where the best of it takes 1.75 usual times. The part of requests that failed enters the choice by what a failure costs; silence counts before it ends; one success halves a rest instead of ending it.

--- a/tests/test_foragers.py
+++ b/tests/test_foragers.py
@@ -9,6 +9,7 @@
 from vetchusher.foragers import Choice, Ground, Head, RouteTable, Seen, judge
 from vetchusher.foragers.claims import CLAIM, Claim, seen_of, what_next
 from vetchusher.foragers.headers import passed_on
+from vetchusher.foragers.patches import Patches, workers
 from vetchusher.foragers.request import Answer, Cancel, Refuse, Send, WakeAt
 from vetchusher.foragers.routes import allowed_regions
 from vetchusher.kinds import Kind
@@ -404,3 +405,82 @@
         choice.sent(S, "a")
         again = choice.ended(S, "a", Seen.NO_CONNECTION, 1000)
         self.assertEqual(800, again.facts["for_ms"])  # the next one longer
+
+    def test_what_may_run_once_keeps_away_from_those_that_fail_now_and_then(self):
+        """
+        a   ok ok ok 500 ok ok        one in a few fails: as quick as the others
+        b   ok ok ok ok  ok ok
+        c   ok ok ok (hangs, given up in favour of a second copy)
+        """
+        choice = Scene(server("a"), server("b"), server("c")).choice
+        for name, seens in [
+            ("a", [Seen.ANSWERED] * 3 + [Seen.SERVER_ERROR] + [Seen.ANSWERED] * 2),
+            ("b", [Seen.ANSWERED] * 6),
+            ("c", [Seen.ANSWERED] * 3 + [Seen.CANCELLED]),
+        ]:
+            for seen in seens:
+                choice.sent(0, name)
+                choice.ended(0, name, seen, 100_000 if seen is Seen.CANCELLED else 20_000)
+        once = {choice.choose(0, "svc", None, (), 2 * S).instance for _ in range(200)}
+        self.assertEqual({"b"}, once)
+        worth = {name: choice._cost(0, choice.standings[name], 2 * S) for name in "abc"}
+        self.assertTrue(worth["b"] < worth["a"] and worth["b"] < worth["c"], worth)
+        later = {name: choice._cost(60 * S, choice.standings[name], 2 * S) for name in "abc"}
+        self.assertTrue(max(later.values()) < 1.01 * min(later.values()), later)  # trust comes back
+
+    def test_a_silent_server_is_left_before_its_first_request_ends(self):
+        choice = Scene(server("a"), server("b")).choice
+        for name in "ab":
+            choice.sent(0, name)
+            choice.ended(20_000, name, Seen.ANSWERED, 20_000)
+        choice.sent(20_000, "a")
+        choice.sent(480_000, "b")
+        self.assertEqual({"b"}, self.count(choice, now=500_000))
+        choice.answering("a", 20_000)  # its head has come: the client reads slowly
+        choice.sent(490_000, "b")
+        self.assertEqual({"a"}, self.count(choice, now=500_000))
+
+
+class Patch(TestCase):
+    """Which servers each of many ingresses keeps to."""
+
+    ZONES = ("gulf-a", "gulf-b", "gulf-c")
+
+    def held(self, ingresses, servers):
+        zones = {f"edge-{n}": self.ZONES[n % 3] for n in ingresses}
+        found = {}
+        for me in zones:
+            patches = Patches(me)
+            patches.ingresses(zones)
+            found[me] = {s for s in servers if patches.holds(f"i-{s}", self.ZONES[s % 3], len(servers))}
+        return found
+
+    def test_all_servers_are_worked_by_as_many_and_one_change_moves_little(self):
+        for ingresses, servers in ((29, 47), (29, 5), (3, 8), (170, 60), (12, 300)):
+            before = self.held(range(ingresses), range(servers))
+            number, last = workers(ingresses, servers), f"edge-{ingresses - 1}"
+            for one in range(servers):
+                self.assertEqual(number, sum(1 for held in before.values() if one in held))
+            after = self.held(range(ingresses - 1), range(servers))
+            fewer = self.held(range(ingresses), range(servers - 1))
+            for changed, some in (
+                (after, servers * abs(number - workers(ingresses - 1, servers)) + len(before[last])),
+                (fewer, servers * abs(number - workers(ingresses, servers - 1)) + number),
+            ):
+                moved = sum(len(held ^ before[me]) for me, held in changed.items())
+                self.assertTrue(moved <= some, (ingresses, servers, moved, some))
+        self.assertEqual(set(range(8)), self.held(range(3), range(8))["edge-0"])  # few: all
+
+    def test_the_own_zone_first_and_beyond_the_patch_where_that_does_badly(self):
+        zones = {f"edge-{n}": ("gulf-a", "gulf-b")[n % 2] for n in range(30)}
+        servers = [server(f"s{n}", ("gulf-a", "gulf-b")[n % 2]) for n in range(40)]
+        choice = Scene(*servers, node="edge-4").choice
+        choice.ingresses(zones)
+        near = {choice.choose(0, "svc", None).instance for _ in range(300)}
+        self.assertTrue(3 <= len(near) <= 16, near)
+        self.assertEqual({"gulf-a"}, {choice.standings[name].server.zone for name in near})
+        for name in near:
+            for _ in range(3):
+                choice.ended(1000, name, Seen.NO_CONNECTION, 1000)
+        beyond = {choice.choose(2000, "svc", None).instance for _ in range(300)}
+        self.assertTrue(len(beyond - near) > 10)
--- a/vetchusher/foragers/choice.py
+++ b/vetchusher/foragers/choice.py
@@ -1,5 +1,7 @@
 """Which server gets a request, by what this ingress has seen of each itself.
 
+An ingress keeps to its patch (`patches`) while that does well, and strays where it does not.
+
 `Choice` owns one `Standing` for each server of the list as it was last told (`servers`), and one smoothed
 time for each service and region; both go when the list no longer names them.  All times are us on one steady
 clock.
@@ -8,14 +10,15 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from vetchusher.events import Event, Note
 from vetchusher.scouts.server import Server
 from vetchusher.settings.configuration import Service
 
 from .claims import Seen
+from .patches import Patches
 
 COLD_BURST = 3.0  # requests that a cold server may get at once: what it is allowed in a second is more
 THAW_LAG_US = 2_000_000  # after an evacuation ends: until the list would tell which of its servers are cold
@@ -23,6 +26,9 @@
 FORGET_US = 5_000_000  # half of what sets a server's time apart from its service's is forgotten in this time
 FIRST_TIME_US = 50_000  # before anything was seen
 WAY_US = 60_000  # what a region not yet tried is taken to be farther than this one
+STRAY = 1.75  # usual times that the best of the patch may take before one beyond it is looked at
+HUNG_TIMES = 3.0  # usual times without an answer: what was given up after that counts as a failure
+LEARN = 0.25  # weight of the newest end in the part of requests that fail
 FAILURE_TIMES = 2.0  # a failure counts as that many usual times at least: quick failures must not attract
 CUT, GROW = 0.7, 0.2  # of the bound on requests out: when the server was full; for as many answers as are out
 QUEUE_PART = 0.5  # of the capacity: what a server queues beyond it, as far as is counted on
@@ -41,6 +47,9 @@
     :param bound: requests that may be out there from here at once; at least 1
     :param time_us: smoothed time from sending to the answer, the way included; 0: none yet
     :param failures: in a row
+    :param ill: smoothed part of the requests that failed
+    :param waiting: when each request of which nothing has been heard was sent (us), the oldest first
+    :param patch: this ingress keeps to it
     """
 
     server: Server
@@ -50,6 +59,10 @@
     time_us: float = 0.0
     timed_at: int = 0
     failures: int = 0
+    ill: float = 0.0
+    ill_at: int = 0
+    waiting: list[int] = field(default_factory=list)
+    patch: bool = True
     rest_us: int = 0
     rest_until: int = 0
     dropped: bool = False  # it answered that another server has its address
@@ -67,6 +80,7 @@
         self.node = node
         self.region = region
         self.zones = zones
+        self.patches = Patches(node)
         self.services: Mapping[str, Service] = {}
         self.standings: dict[str, Standing] = {}
         self.places: dict[
@@ -95,8 +109,14 @@
                 standing = Standing(server, self.zones.get(server.zone, ""), self._first_bound(server))
             standing.server = server
             self.standings[server.instance] = standing
+        self.patches.keep(self.standings)
         self._place()
 
+    def ingresses(self, zones: Mapping[str, str]) -> None:
+        """The zones of those of this region that may be serving, by node name."""
+        if self.patches.ingresses(zones):
+            self._place()
+
     def evacuated(self, zones: frozenset[str], now: int) -> None:
         for zone in self.closed - zones:
             self.reopened[zone] = now
@@ -110,16 +130,27 @@
             if not server.draining and server.zone not in self.closed:
                 regions = self.places.setdefault(server.service, {})
                 regions.setdefault(standing.region, []).append(standing)
+        for regions in self.places.values():
+            for some in regions.values():
+                for standing in some:
+                    server = standing.server
+                    standing.patch = self.patches.holds(server.instance, server.zone, len(some))
         self.means = {key: m for key, m in self.means.items() if key[1] in self.places.get(key[0], {})}
 
     def choose(
-        self, now: int, service: str, allowed: frozenset[str] | None, exclude: Collection[str] = ()
+        self,
+        now: int,
+        service: str,
+        allowed: frozenset[str] | None,
+        exclude: Collection[str] = (),
+        loss_us: int = 0,
     ) -> Server | None:
         """A server with room: warm ones of the own region, then its cold ones that are kept here, then those
         of the region whose answers come soonest.
 
         :param allowed: regions; none named at all: every region
         :param exclude: instances that this request has been sent to
+        :param loss_us: what a failure costs, as a time: what may run once only is lost with it
         """
         regions = {
             name: found
@@ -129,25 +160,54 @@
         near = regions.pop(self.region, None)
         far = sorted(regions, key=lambda name: self._mean(service, name)) if regions else []
         for some in ([near] if near else []) + [regions[name] for name in far]:
-            if (found := self._pair(now, some, exclude)) is not None:
+            if (found := self._warm(now, some, exclude, loss_us)) is not None:
                 return found.server
             if (found := self._cold(now, some, exclude)) is not None:
                 return found.server
         return None
 
-    def _pair(self, now: int, some: list[Standing], exclude: Collection[str]) -> Standing | None:
+    def _warm(
+        self, now: int, some: list[Standing], exclude: Collection[str], loss_us: int
+    ) -> Standing | None:
+        """One of the patch, unless that would take too long: then one beyond it may do better."""
+
+        def cost(standing: Standing) -> float:
+            return self._cost(now, standing, loss_us)
+
+        patch = [s for s in some if s.patch]
+        enough = STRAY * self._mean(some[0].server.service, some[0].region)
+        found = self._pair(now, patch, exclude, cost)
+        if found is not None and cost(found) > enough:
+            fit = [s for s in patch if self._fit(now, s, exclude)]
+            found = min(fit, key=lambda s: (cost(s), self.rng.random()))
+        if len(patch) < len(some) and (found is None or cost(found) > enough):
+            other = self._pair(now, [s for s in some if not s.patch], exclude, cost)
+            if other is not None and (found is None or cost(other) < cost(found)):
+                return other
+        return found
+
+    def _pair(
+        self,
+        now: int,
+        some: list[Standing],
+        exclude: Collection[str],
+        cost: Callable[[Standing], float],
+    ) -> Standing | None:
         """Two at random among the usable ones, and the one that should answer sooner."""
         first: Standing | None = None
         for _ in range(GLANCES if len(some) > GLANCES else 0):
             drawn = some[int(self.rng.random() * len(some))]
-            if drawn is not first and self._usable(now, drawn, exclude) and not self._is_cold(now, drawn):
+            if drawn is not first and self._fit(now, drawn, exclude):
                 if first is not None:
-                    return min(first, drawn, key=lambda s: self._cost(now, s))
+                    return min(first, drawn, key=cost)
                 first = drawn
-        fit = [s for s in some if self._usable(now, s, exclude) and not self._is_cold(now, s)]
+        fit = [s for s in some if self._fit(now, s, exclude)]
         if len(fit) > 1:
             fit = self.rng.sample(fit, 2)
-        return min(fit, key=lambda s: self._cost(now, s), default=None)
+        return min(fit, key=cost, default=None)
+
+    def _fit(self, now: int, standing: Standing, exclude: Collection[str]) -> bool:
+        return self._usable(now, standing, exclude) and not self._is_cold(now, standing)
 
     def _cold(self, now: int, some: list[Standing], exclude: Collection[str]) -> Standing | None:
         """A cold one that this ingress keeps and that may have one more now.
@@ -193,12 +253,23 @@
         near = self.means.get((service, self.region), FIRST_TIME_US)
         return near if region == self.region else near + WAY_US
 
-    def _cost(self, now: int, standing: Standing) -> float:
-        """What a request sent now may wait for: as many as are out there, and itself, one time each."""
+    def _cost(self, now: int, standing: Standing, loss_us: int = 0) -> float:
+        """What a request sent now may wait for: as many as are out there, and itself, one time each; and what
+        is lost if it fails.
+
+        A request of which nothing has been heard for longer than that shows how long it takes there now.
+        """
         mean = self._mean(standing.server.service, standing.region)
         apart = standing.time_us - mean if standing.time_us else 0.0
         kept: float = 0.5 ** ((now - standing.timed_at) / FORGET_US)
-        return (standing.out + 1) * (mean + apart * kept)
+        time = max(0.0, mean + apart * kept)
+        if standing.waiting:
+            time = max(time, now - standing.waiting[0])
+        return (standing.out + 1) * time + self._ill(now, standing) * max(float(loss_us), mean)
+
+    def _ill(self, now: int, standing: Standing) -> float:
+        kept: float = 0.5 ** ((now - standing.ill_at) / FORGET_US) if standing.ill else 0.0
+        return standing.ill * kept
 
     def sent(self, now: int, instance: str) -> None:
         """A request goes there; `ended` is owed for it."""
@@ -206,9 +277,16 @@
         if standing is None:
             return
         standing.out += 1
+        standing.waiting.append(now)
         if self._is_cold(now, standing):
             standing.tokens, standing.tokens_at = self._tokens(now, standing) - 1.0, now
 
+    def answering(self, instance: str, sent_at: int) -> None:
+        """The head of its answer has come: the rest takes as long as its client reads."""
+        standing = self.standings.get(instance)
+        if standing is not None and sent_at in standing.waiting:
+            standing.waiting.remove(sent_at)
+
     def ended(self, now: int, instance: str, seen: Seen, took_us: int, prompt: bool = False) -> Note | None:
         """What came of it.
 
@@ -219,6 +297,10 @@
         if standing is None:
             return None
         standing.out = max(0, standing.out - 1)
+        if now - took_us in standing.waiting:
+            standing.waiting.remove(now - took_us)
+        del standing.waiting[: max(0, len(standing.waiting) - standing.out)]
+        self._learn(now, standing, seen, took_us)
         if seen is Seen.MISDIRECTED:
             standing.dropped = True
         elif seen in _FULL or (prompt and seen is Seen.RESET):
@@ -235,12 +317,23 @@
             return self._failed(now, standing, 1)
         elif seen is Seen.ANSWERED:
             self._time(now, standing, took_us, failed=False)
-            standing.failures = standing.rest_us = 0
+            standing.failures, standing.rest_us = 0, standing.rest_us // 2
             if standing.out + 2 > standing.bound:  # it was the bound that kept more away
                 most = self._most(standing.server)
                 standing.bound = min(most, standing.bound + GROW / standing.bound)
         return None
 
+    def _learn(self, now: int, standing: Standing, seen: Seen, took_us: int) -> None:
+        """Its health, by how this request ended.
+
+        Danger: a server that hangs would never be blamed for what was given up in favour of a second copy.
+        """
+        mean = self._mean(standing.server.service, standing.region)
+        hung = seen is Seen.CANCELLED and took_us > HUNG_TIMES * mean
+        if hung or seen is Seen.ANSWERED or seen is Seen.NO_CONNECTION or seen in _FAILED:
+            ill, failed = self._ill(now, standing), float(seen is not Seen.ANSWERED)
+            standing.ill, standing.ill_at = ill + LEARN * (failed - ill), now
+
     def _time(self, now: int, standing: Standing, took_us: int, failed: bool) -> None:
         key = (standing.server.service, standing.region)
         mean = self._mean(*key)
--- a/vetchusher/foragers/request.py
+++ b/vetchusher/foragers/request.py
@@ -188,7 +188,7 @@
         allowed = allowed_regions(self.route, self.tenant)
         server: Server | None = None
         for service in draw_services(self.route, self.ground.rng):
-            server = self.ground.choice.choose(now, service, allowed)
+            server = self.ground.choice.choose(now, service, allowed, (), self._loss(now))
             if server is not None:
                 self.service = service
                 break
@@ -243,6 +243,7 @@
         if self.done:
             return []
         self.heard_at[number] = now
+        self.ground.choice.answering(self.open[number].instance, self.sent_at[number])
         return self._answer(now, number)
 
     def late(self, now: int) -> list[Act]:
@@ -276,13 +277,17 @@
         if self.arrived >= self.route.max_attempts:
             return None
         allowed = allowed_regions(self.route, self.tenant)
-        server = self.ground.choice.choose(now, self.service, allowed, self.tried)
+        server = self.ground.choice.choose(now, self.service, allowed, self.tried, self._loss(now))
         if server is None:
             return None
         if self.arrived and not self.ground.budget.may(now, self.service):
             return None
         return self._send(now, server)
 
+    def _loss(self, now: int) -> int:
+        """What a failure costs: all the time that is left, unless it may be sent again."""
+        return 0 if self.repeatable else self.deadline - now
+
     def _send(self, now: int, server: Server) -> Send:
         number = self.tries
         self.tries += 1
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -100,6 +100,8 @@
             self.tally.fleet(now, ingresses, self.node.node_name in self.entrance.rows)
             self.extra.fleet(ingresses)
             places = places_of(self.entrance.values())
+            near = {name: at.zone for name, at in places.items() if at.region == self.node.region}
+            self.front.ingresses(near)
             self.follower.watch(neighbours(self.node.node_name, self.node.region, places))
         if "scouts" in changed:
             self.servers_came(now)
--- a/vetchusher/hive/front.py
+++ b/vetchusher/hive/front.py
@@ -220,6 +220,9 @@
         self.choice.servers(servers)
         self.tries.servers_changed()
 
+    def ingresses(self, zones: Mapping[str, str]) -> None:
+        self.choice.ingresses(zones)
+
     def evacuated(self, zones: frozenset[str], now: int) -> None:
         self.choice.evacuated(zones, now)
 
