Answer the directory at every ingress, and beat the core machines that need it less often

Cause: clients ask the directory before every other request, on a new connection, and only core machines answered. Beats to five core machines from each of 71 ingresses, two in three across regions, were the largest part of the bytes between regions.

Ruled out: servers and the way to them (times of attempts), the ingresses' own processor (0.024 cores). Longer lives of the directory's answers would keep clients with those that have died.

Change: rows of 'entrance' say where clients reach an ingress and whether it serves; an ingress answers by them, unless no core machine has answered it for 2.5 s. The primary is beaten every 0.5 s, the others every second.

--- a/tests/test_waggle.py
+++ b/tests/test_waggle.py
@@ -7,11 +7,12 @@
 
 from testtools import TestCase
 
+from vetchusher.entrance.naming import entrances_of, named
 from vetchusher.entrance.neighbours import Place, neighbours
 from vetchusher.entrance.presence import SERVING_US, Presence
 from vetchusher.scouts.reader import Listed, Reader, read_page, read_row
 from vetchusher.waggle import wire_pb2 as wire
-from vetchusher.waggle.follower import BEAT_US, FRESH_US, Follower, SendBeat, SendPull
+from vetchusher.waggle.follower import BEAT_US, FRESH_US, TOUCH_US, Follower, SendBeat, SendPull
 from vetchusher.waggle.ledger import Ledger, message_of
 from vetchusher.waggle.shelf import Shelf, whole
 
@@ -93,6 +94,20 @@
         follower.heard_beat(BEAT_US, "b", 0, None)
         self.assertEqual([SendBeat("b")], follower.tick(BEAT_US))
 
+    def test_the_primary_is_asked_most(self):
+        follower, comb = self.follower()
+        comb.publish((1, 0), {})
+        follower.tick(0)
+        for ip in "ab":
+            follower.heard_beat(0, ip, 0, heard(0, True, "c"))
+        asked = dict.fromkeys("abc", 0)
+        for now in range(0, 4 * S, S // 20):
+            for send in follower.tick(now):
+                asked[send.to] += 1
+                follower.heard_beat(now, send.to, now, heard(0, True, "c"))
+            self.assertTrue(follower.fresh(now))
+        self.assertEqual({"a": 3, "b": 3, "c": 8}, asked)
+
 
 def listed(instance: str, **over: object) -> Listed:
     fields = {"service": "s", "address": "10.0.0.1:80", "zone": "n-a", "version": "v1", "capacity": 3}
@@ -148,6 +163,38 @@
         self.assertEqual([], presence.name(SERVING_US + 1, "n", "n-b"))
         self.assertEqual(4, len(presence.may_serve()))  # cut off from here they may still have clients
 
+    def test_every_ingress_names_whom_the_core_would_name(self):
+        """
+        e1, e2, e3   ready --------------------------------
+        e1                    leaves
+        e3                    (silent) ------- not counted
+        """
+        presence, told = Presence(), Ledger("entrance")
+        for node in ("e1", "e2", "e3"):
+            beat = wire.Beat(node=node, region="n", zone="n-a", front=f"{node}:1", standing=wire.READY)
+            presence.heard(0, beat)
+
+        def at_an_ingress(now, seq):
+            told.publish((1, seq), presence.rows(now))
+            return named(entrances_of(told.values()), "n", "n-a")
+
+        self.assertEqual(["e1:1", "e2:1", "e3:1"], at_an_ingress(S, 1))
+        for node, standing in (("e1", wire.LEAVING), ("e2", wire.READY)):
+            beat = wire.Beat(node=node, region="n", zone="n-a", front=f"{node}:1", standing=standing)
+            presence.heard(2 * S, beat)
+        self.assertEqual(["e2:1", "e3:1"], at_an_ingress(2 * S, 2))
+        self.assertEqual(["e2:1"], at_an_ingress(SERVING_US + 1, 3))
+        self.assertEqual(3, len(told.rows))  # they still count among those that may have clients
+        old = {"e9": b'["10.0.0.9","n-a","n"]'}  # a row of the form before says nothing of it
+        self.assertEqual([], entrances_of(old))
+
+    def test_one_that_no_core_machine_answers_does_not_say_who_serves(self):
+        follower = Follower(["a"], {"comb": Ledger("comb")})
+        self.assertFalse(follower.in_touch(0))
+        follower.heard_beat(0, "a", 0, heard(1, False))
+        self.assertTrue(follower.in_touch(TOUCH_US))
+        self.assertFalse(follower.in_touch(TOUCH_US + 1))
+
 
 class Shelves(TestCase):
     def test_what_was_told_is_told_again_after_a_start_and_a_torn_file_is_begun_anew(self):
--- a/vetchusher/entrance/neighbours.py
+++ b/vetchusher/entrance/neighbours.py
@@ -25,7 +25,7 @@
     found = {}
     for node, value in rows.items():
         try:
-            ip, zone, region = json.loads(value)
+            ip, zone, region, *_ = json.loads(value)
         except (ValueError, TypeError):
             continue
         if ip:
--- a/vetchusher/entrance/presence.py
+++ b/vetchusher/entrance/presence.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 
 from vetchusher.events import Event, Note
 from vetchusher.waggle import wire_pb2 as wire
 
-SERVING_US = 2_500_000  # since the last beat: five of them may be lost
+from .naming import Entrance, named, row_of
+
+SERVING_US = 2_500_000  # since the last beat: five of them may be lost at the primary, two elsewhere
 MAY_SERVE_US = 60_000_000  # since the last beat: cut off from here it may still serve clients
 MOST_INGRESSES = 2_048
-MOST_NAMED = 64  # addresses in one answer
 TTL_S = 2  # for which a client may hold on to the directory's answer
 KEPT_TIMES = 3  # as long as that some do hold on to it
-FEWEST_NAMED = 2  # with fewer in its region a client would have nowhere to go when one dies
 
 
 @dataclass(slots=True)
@@ -28,6 +27,13 @@
     standing: wire.Standing
     heard_at: int
 
+    def entrance(self) -> Entrance:
+        return Entrance(self.node, self.zone, self.region, self.front)
+
+    def serves(self, now: int) -> bool:
+        """Heard lately, and ready."""
+        return self.standing == wire.READY and now - self.heard_at <= SERVING_US
+
 
 class Presence:
     """Owner of what is known of them: an entry goes when it has been silent for MAY_SERVE_US."""
@@ -71,12 +77,9 @@
             self.ingresses[node] = Ingress(node, "", "", "", "", 0, wire.STARTING, now)
             self.lost.add(node)
 
-    def rows(self) -> dict[str, bytes]:
-        """As news: every ingress that may be serving, by name."""
-        return {
-            one.node: json.dumps([one.ip, one.zone, one.region], separators=(",", ":")).encode()
-            for one in self.ingresses.values()
-        }
+    def rows(self, now: int) -> dict[str, bytes]:
+        """As news: every ingress that may be serving, by name, and whether it does."""
+        return {one.node: row_of(one.ip, one.entrance(), one.serves(now)) for one in self.ingresses.values()}
 
     def may_serve(self) -> dict[str, int]:
         """When each that may have clients, those lately lost among them, was last heard (us)."""
@@ -84,16 +87,7 @@
 
     def serving(self, now: int) -> list[Ingress]:
         """Those heard lately that are ready."""
-        return [
-            one
-            for one in self.ingresses.values()
-            if one.standing == wire.READY and now - one.heard_at <= SERVING_US
-        ]
+        return [one for one in self.ingresses.values() if one.serves(now)]
 
     def name(self, now: int, region: str, zone: str) -> list[str]:
-        """Fronts for a client of that place: its region's; with fewer than two there, all."""
-        serving = self.serving(now)
-        near = [one for one in serving if one.region == region]
-        chosen = near if len(near) >= FEWEST_NAMED else serving
-        chosen.sort(key=lambda one: (one.region != region, one.zone != zone, one.node))
-        return [one.front for one in chosen[:MOST_NAMED]]
+        return named((one.entrance() for one in self.serving(now)), region, zone)
--- a/vetchusher/foragers/patches.py
+++ b/vetchusher/foragers/patches.py
@@ -1,9 +1,9 @@
 """The patch of an ingress: the servers of a service to which it keeps while they do well.
 
 Many ingresses share many servers.  If each sent to all, it would meet each server so seldom that its idle
-connections were forgotten in between and that its own answers told nothing of that server's health.  So each
-server is worked by a few ingresses only, the same number for each, named by rendezvous hashing: one ingress or
-one server more moves only the patches that it is or was in.  Those of the server's own zone are named first.
+connections were forgotten in between, and its own answers told nothing of that server's health.  So each
+server is worked by a few ingresses only, as many for each, named by rendezvous hashing: one ingress or one
+server more moves only the patches that it is or was in.  Those of the server's own zone are named first.
 
 Kin: deterministic and rendezvous subsetting (Google's SRE book, ch. 20; Twitter's aperture).
 """
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -6,11 +6,13 @@
 import random
 from collections.abc import Callable, Sequence
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
+from vetchusher.entrance.naming import Entrance, entrances_of, named
 from vetchusher.entrance.neighbours import neighbours, places_of
 from vetchusher.entrance.presence import KEPT_TIMES, TTL_S
 from vetchusher.events import Event, Note
+from vetchusher.kinds import Fault, Kind
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.tries import ExtraTries
 from vetchusher.scouts.reader import read_row
@@ -23,6 +25,7 @@
 
 from .following import Following
 from .front import Front, Readiness
+from .orders import AskResolution, Resolved
 from .paths import Channel, Paths
 
 TICK_S = 0.05
@@ -54,6 +57,7 @@
         self.front = Front(loop, node, rng, self.tally, self.extra, note)
         self.readiness = Readiness(loop, self.ready)
         self.known: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
+        self.entrances: list[Entrance] = []  # who serves, as told
         self.version = 0
         self.leaving = False
         self.left_at = 0.0
@@ -99,7 +103,8 @@
             ingresses = len(self.entrance.rows)
             self.tally.fleet(now, ingresses, self.node.node_name in self.entrance.rows)
             self.extra.fleet(ingresses)
-            places = places_of(self.entrance.values())
+            rows = self.entrance.values()
+            places, self.entrances = places_of(rows), entrances_of(rows)
             near = {name: at.zone for name, at in places.items() if at.region == self.node.region}
             self.front.ingresses(near)
             self.follower.watch(neighbours(self.node.node_name, self.node.region, places))
@@ -158,6 +163,20 @@
                 task.add_done_callback(self.pushes.discard)
         self.paths.keep({*self.follower.contacts, *self.follower.neighbours})
 
+    async def settle(self, call: object) -> Result[Resolved, Fault]:
+        """A client's question where to go, by what the news say.
+
+        Danger: one that is cut off from the core would name for ever who served when it was; another does
+        better.
+        """
+        if not isinstance(call, AskResolution):
+            return Failure(Fault(Kind.NOT_FOUND, "no such call"))
+        others = [one for one in self.entrances if not self.leaving or one.node != self.node.node_name]
+        fronts = named(others, call.region, call.zone)
+        if not fronts or not self.follower.in_touch(self.now()):
+            return Failure(Fault(Kind.NOT_SETTLED, "who serves is not known here"))
+        return Success(Resolved(tuple(fronts), min(TTL_S, self.node.bounds.ttl_max_s)))
+
     async def push(self, primary: str, push: wire.Push) -> None:
         answer = await self.paths.ask(primary, wire.Frame(push=push), PUSH_S)
         if answer is not None and answer.WhichOneof("body") == "totals":
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -302,7 +302,7 @@
 
     def tell_ingresses(self) -> None:
         """Who may be serving, as rows: by how many a quota is divided, and who knows whom."""
-        rows = self.presence.rows()
+        rows = self.presence.rows(self.now())
         if rows != self.entrance.values():
             epoch, seq = self.entrance.stamp
             stamp = (self.member.epoch, seq + 1 if epoch == self.member.epoch else 1)
--- a/vetchusher/hive/process.py
+++ b/vetchusher/hive/process.py
@@ -90,6 +90,12 @@
             forager = Forager(self.loop, node, self.paths, self.rng, steady_us, self.note)
             self.parts.append(forager)
             await forager.open()
+            if node.listen.directory is not None and not node.data_directory:
+                from .orders import DirectoryDoor
+
+                door = DirectoryDoor(forager.settle, node.listen.directory)
+                self.doors.append(door)
+                door.open()
         await self.paths.open()
         return ""
 
--- a/vetchusher/waggle/follower.py
+++ b/vetchusher/waggle/follower.py
@@ -15,12 +15,14 @@
 from . import wire_pb2 as wire
 from .ledger import NEVER, Ledger, Stamped, stamp_of, vector_of
 
-BEAT_US = 500_000
+BEAT_US = 500_000  # to the primary, or while none is known
+OTHERS_US = 1_000_000  # to the other core machines: what they learn is told unasked
 EAGER_US = 150_000  # the same, to one that has not answered yet: after a loss of power all start together
 NEAR_US = 1_000_000  # the same, to a neighbour
 PULL_PATIENCE_US = 1_500_000  # a pull that is not answered by then is made elsewhere
 FRESH_US = 1_500_000  # since the sending of a beat that a machine with a majority behind it answered
 CONTACT_US = 5_000_000  # what a core machine that has not answered for so long once said counts no longer
+TOUCH_US = 2_500_000  # the same, for what need not be in force
 MOST_CONTACTS = 16
 
 
@@ -88,8 +90,9 @@
         """Beats that are due; call it at least every 100 ms."""
         sends: list[Send] = []
         empty = self.pulling is None and any(led.stamp == NEVER for led in self.sources.values())
+        primary = self.primary(now)
         for ip, contact in self.contacts.items():
-            pause = BEAT_US if contact.heard_at >= 0 else EAGER_US
+            pause = EAGER_US if contact.heard_at < 0 else BEAT_US if primary in ("", ip) else OTHERS_US
             if not contact.waiting and now - contact.beaten_at >= pause:
                 contact.beaten_at, contact.waiting = now, True
                 sends.append(SendBeat(ip, empty))
@@ -155,6 +158,10 @@
                 notes.append(Note(Event.NEWS_TAKEN, facts | {"whole": told.whole}))
         return changed, notes
 
+    def in_touch(self, now: int) -> bool:
+        """Whether any core machine has answered lately, whatever stands behind it."""
+        return any(now - contact.heard_at <= TOUCH_US for contact in self.contacts.values())
+
     def fresh(self, now: int) -> bool:
         """Whether what is held of the control state is what is in force, as of FRESH_US ago at the latest."""
         answers = [c for c in self.contacts.values() if now - c.in_force_at <= FRESH_US]
