--- a/vetchusher/comb/recall.py
+++ b/vetchusher/comb/recall.py
@@ -16,6 +16,7 @@
 from vetchusher.waggle.wire_pb2 import CombLetter, CombRecord, CombState, Recall, Recalled
 
 from .acts import Kept, Output, Tell, Timing
+from .floor import begun_from
 from .state import first_record, first_state, majority, newest
 
 MOST_MET = 64
@@ -25,7 +26,17 @@
     """It owns the answers: one a machine asked.  Asked are the seeds, the members that others name, and
     whoever calls."""
 
-    def __init__(self, timing: Timing, me: str, seeds: Sequence[str], rng: random.Random, now: int) -> None:
+    def __init__(
+        self,
+        timing: Timing,
+        me: str,
+        seeds: Sequence[str],
+        rng: random.Random,
+        now: int,
+        floor: Kept | None = None,
+    ) -> None:
+        """:param floor: what an import brought: where nobody remembers, all begin from the highest"""
+        self.floor = floor
         self.timing = timing
         self.me = me
         self.seeds = tuple(seeds)
@@ -83,4 +94,6 @@
         everybody = self.contacts() <= self.answers.keys()
         if self.me not in self.seeds or not everybody or now < self.began + self.timing.anew_us:
             return None
-        return Kept(0, first_state(), record=first_record(self.seeds))
+        told = [a.floor for a in self.answers.values() if a.HasField("floor")]
+        floors = told + ([self.floor.state] if self.floor is not None else [])
+        return begun_from(floors, self.seeds) or Kept(0, first_state(), record=first_record(self.seeds))
