--- a/vetchusher/comb/acts.py
+++ b/vetchusher/comb/acts.py
@@ -129,12 +129,20 @@
     order: Order
 
 
+@dataclass(slots=True, frozen=True)
+class Mended:
+    """:param state: the copy that belongs to the stamp that this machine holds, which its own was not; None:
+    all that is held, as it is, is to be written again"""
+
+    state: CombState | None
+
+
 @dataclass(slots=True, frozen=True)
 class Retire:
     """The process is about to end in order: if it leads, another is to lead at once."""
 
 
-Input = Tick | Heard | Saved | Submitted | Retire
+Input = Tick | Heard | Saved | Submitted | Mended | Retire
 
 
 # -- outputs ---------------------------------------------------------------------------------------
--- a/vetchusher/comb/memory.py
+++ b/vetchusher/comb/memory.py
@@ -66,6 +66,18 @@
         self.number += 1
         self.state_number = self.number
 
+    def mend(self, state: CombState | None) -> None:
+        """Danger: what has been written under a later stamp meanwhile must stay.
+
+        :param state: None: what lies on the disk is not what is held
+        """
+        if state is None:
+            self.number += 1
+            self.office_number = self.state_number = self.number
+            return
+        if self.copy and at(state) == at(self.state):
+            self.hold(state)
+
     def tell(self, to: str, letter: CombLetter, number: int) -> list[Output]:
         """At once if the contents of that number are on disk, else when they are."""
         if number <= self.synced:
