--- a/benchmarks/quota_days.py
+++ b/benchmarks/quota_days.py
@@ -75,7 +75,9 @@
         if "evacuate" in offered and rng.random() < 0.7:
             evacuation = {"kind": "evacuate", "zone": rng.choice(zones), "how": rng.choice(("", "warm"))}
             plan.append({"at": round(rng.uniform(4.0, 16.0), 2), **evacuation, "for_s": 6.0})
-        day["faults"] = sorted(struck, key=lambda entry: float(entry["at"]))
+        day["faults"] = sorted(
+            ({"how": "", **entry} for entry in struck), key=lambda entry: float(entry["at"])
+        )
         day["plan"] = sorted(plan, key=lambda entry: float(entry["at"]))
         day.pop("closing", None)
         yield day
