Wait longer for the copy in another zone before it is replaced

Lines at fault: Primary.mark_late, one bound for all. A copy in another zone now has 2 s, as a write had for it before the roles, and is taught on while it rests, so that it returns as soon as it syncs.

--- a/vetchusher/comb/acts.py
+++ b/vetchusher/comb/acts.py
@@ -18,9 +18,9 @@
     :param lease_us: for how long a voter that agreed to a renewal promises no other epoch
     :param held_us: for how long a primary or a candidate counts any answer, from the sending of the question.
         The rest of the lease is what two steady clocks may drift apart in that time
-    :param other_zone_us: how long a write waits while a copy in another zone is being taught
-    :param late_us: a copy that has not synced a write for so long, and a microsecond for each byte of the
-        configuration, is replaced
+    :param other_zone_us: how long a write waits for a copy in another zone, or until one there is taught
+    :param late_us: a copy in the primary's zone that has not synced a write for so long, and a microsecond
+        for each byte of the configuration, is replaced
     :param rest_us: for how long a late one is not chosen again
     :param yield_us: like `late_us`, of the primary's own disk: it hands over
     :param drop_copy_us: for how long one that was replaced keeps its copy
--- a/vetchusher/comb/backups.py
+++ b/vetchusher/comb/backups.py
@@ -40,7 +40,7 @@
     :param dropped: stamp up to which it was told to drop its copy; none such counts
     :param record: epoch and number of the record that it has synced; it counts until `lease_until`
     :param wrote: stamp of the last write sent to it, first at `first_at`, last at `last_at`
-    :param rested_until: it was late with a write: until then it is not chosen
+    :param rested_until: it was late with a write: until then, or until it syncs one, it is not chosen
     """
 
     copy: Point = START
@@ -116,7 +116,7 @@
             until = backup.first_at + self.timing.held_us
             # Danger: a late word must not borrow the time of a newer one that told less.
             backup.copy_until = max(until, backup.copy_until) if backup.copy == backup.wrote else until
-            backup.copy, backup.holds = backup.wrote, True
+            backup.copy, backup.holds, backup.rested_until = backup.wrote, True, 0
 
     def copy(self, now: int, ip: str) -> Point:
         """Stamp of the copy on that member's disk, as far as its word still counts."""
@@ -127,6 +127,10 @@
         backup = self.member(ip)
         return backup.record if now < backup.lease_until else START
 
+    def rests(self, now: int, ip: str) -> bool:
+        """It was late a moment ago, and is up."""
+        return now < self.member(ip).rested_until and self.heard(now, ip)
+
     def well(self, now: int, ip: str) -> bool:
         """Whether it may be chosen to hold a copy."""
         if ip == self.fellows.me:
--- a/vetchusher/comb/primary.py
+++ b/vetchusher/comb/primary.py
@@ -127,7 +127,13 @@
 
     def taught(self, now: int) -> set[str]:
         """Who gets every write: the copies, and those that are to become copies."""
-        return (self.office.copies() | self.office.wanted(now)) - {self.fellows.me}
+        # A late one in another zone: it holds a copy again as soon as it has shown that it can.
+        late = {ip for ip in self.office.members if self.away(ip) and self.backups.rests(now, ip)}
+        return (self.office.copies() | self.office.wanted(now) | late) - {self.fellows.me}
+
+    def away(self, ip: str) -> bool:
+        """Whether it lies in another zone."""
+        return self.fellows.apart({ip, self.fellows.me})
 
     def teach(self, now: int) -> list[Output]:
         out: list[Output] = []
@@ -182,7 +188,9 @@
             backup = self.backups.member(ip)
             if backup.wrote != newest or backup.copy >= newest:
                 continue
-            if now >= backup.first_at + self.patience(self.timing.late_us):
+            # Danger: without the copy in another zone that zone's loss is more than is borne.
+            most = self.timing.other_zone_us if self.away(ip) else self.timing.late_us
+            if now >= backup.first_at + self.patience(most):
                 backup.rested_until = now + self.timing.rest_us
                 if ip not in copies:
                     backup.wrote = START  # when it is chosen again it has its time again
