--- a/vetchusher/emulator/core_rig.py
+++ b/vetchusher/emulator/core_rig.py
@@ -41,7 +41,7 @@
 CATCH_UP_S = 4.0  # a machine counts as lost for so long after its return
 DOWN_S = (0.2, 2.0)  # until what was killed is started again
 STOP_S = (0.3, 4.0)
-REGAIN_S = 60.0  # danger: where nothing is acknowledged for so long, the run ends and says so
+REGAIN_S = 180.0  # danger: where nothing is acknowledged for so long, the run ends and says so
 
 
 def body(version: int) -> bytes:
@@ -277,8 +277,9 @@
         after, ended = self.bytes_written(), time.monotonic()
         await asyncio.sleep(max(1.0, ended - began))
         idle = (self.bytes_written() - after) / (time.monotonic() - ended)
-        self.found.calm_bytes = (after - before - idle * (ended - began)) / count
-        self.found.calm_syncs = commits.look(disks) / count
+        answered = max(1, len(self.found.calm_ms))  # on a busy machine not all are
+        self.found.calm_bytes = (after - before - idle * (ended - began)) / answered
+        self.found.calm_syncs = commits.look(disks) / answered
         self.going.set()
 
     def bytes_written(self) -> int:
--- a/vetchusher/hive/forager.py
+++ b/vetchusher/hive/forager.py
@@ -6,12 +6,13 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
+from vetchusher.entrance.naming import Entrance, entrances_of, named
 from vetchusher.entrance.neighbours import neighbours, places_of
 from vetchusher.entrance.presence import KEPT_TIMES, TTL_S
 from vetchusher.events import Event, Note
-from vetchusher.kinds import Fault
+from vetchusher.kinds import Fault, Kind
 from vetchusher.limits.tally import Tally
 from vetchusher.limits.tries import ExtraTries
 from vetchusher.limits.windows import Bounds as QuotaBounds
@@ -26,6 +27,7 @@
 
 from .following import Following
 from .front import Front, Readiness
+from .orders import AskResolution, Resolved
 from .paths import Channel, Paths
 from .reading import LOOP_BYTES, Reading
 
@@ -59,6 +61,7 @@
         self.front = Front(loop, node, rng, self.tally, self.extra, note)
         self.readiness = Readiness(loop, self.ready)
         self.known: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
+        self.entrances: list[Entrance] = []  # who serves, as told
         self.version = 0
         self.digest: bytes | None = b""  # row of the configuration in force
         self.reading = Reading(loop)
@@ -75,6 +78,8 @@
         kind = frame.WhichOneof("body")
         if kind == "beat_heard":
             self.carry_sends(self.follower.heard_beat(self.now(), frame.sender, 0, frame.beat_heard))
+        elif kind == "totals":  # unasked
+            self.tally.alarm(self.now(), frame.totals)
         elif kind == "beat":  # a neighbour's, which may be cut off from the core
             channel.reply(frame, wire.Frame(beat_heard=wire.BeatHeard(vector=vector_of(self.sources))))
         elif kind == "pull":
@@ -108,7 +113,10 @@
             ingresses = len(self.entrance.rows)
             self.tally.fleet(now, ingresses, self.node.node_name in self.entrance.rows)
             self.extra.fleet(ingresses)
-            places = places_of(self.entrance.values())
+            rows = self.entrance.values()
+            places, self.entrances = places_of(rows), entrances_of(rows)
+            near = {name: at.zone for name, at in places.items() if at.region == self.node.region}
+            self.front.ingresses(near)
             self.follower.watch(neighbours(self.node.node_name, self.node.region, places))
         if "scouts" in changed:
             self.servers_came(now)
@@ -185,15 +193,33 @@
         self.carry_sends(self.follower.tick(now))
         self.look_fresh(now)
         self.front.choice.kept_until = self.follower.primary_heard_at(now) + KEPT_LEASE_US
-        if self.loop.time() - self.pushed_at >= SYNC_S and len(self.pushes) < MOST_PUSHES:
+        due = self.tally.eager or self.loop.time() - self.pushed_at >= SYNC_S
+        if due and len(self.pushes) < MOST_PUSHES:
             self.pushed_at = self.loop.time()
             primary, push = self.follower.primary(now), self.tally.push(now)
             if primary and push is not None:
                 task = self.loop.create_task(self.push(primary, push))
                 self.pushes.add(task)
                 task.add_done_callback(self.pushes.discard)
+        standing = self.tally.standing(now)
+        if standing is not None:
+            self.note(Note(Event.TOTALS_WHOLE if self.tally.stood else Event.TOTALS_LOST, standing))
         self.paths.keep({*self.follower.contacts, *self.follower.neighbours})
 
+    async def settle(self, call: object) -> Result[Resolved, Fault]:
+        """A client's question where to go, by what the news say.
+
+        Danger: one that is cut off from the core would name for ever who served when it was; another does
+        better.
+        """
+        if not isinstance(call, AskResolution):
+            return Failure(Fault(Kind.NOT_FOUND, "no such call"))
+        others = [one for one in self.entrances if not self.leaving or one.node != self.node.node_name]
+        fronts = named(others, call.region, call.zone)
+        if not fronts or not self.follower.in_touch(self.now()):
+            return Failure(Fault(Kind.NOT_SETTLED, "who serves is not known here"))
+        return Success(Resolved(tuple(fronts), min(TTL_S, self.node.bounds.ttl_max_s)))
+
     async def push(self, primary: str, push: wire.Push) -> None:
         answer = await self.paths.ask(primary, wire.Frame(push=push), PUSH_S)
         if answer is not None and answer.WhichOneof("body") == "totals":
--- a/vetchusher/hive/keeper.py
+++ b/vetchusher/hive/keeper.py
@@ -39,7 +39,7 @@
 PASS_ON_S = 2.5  # for the primary's answer to an order passed on
 MOST_WATCHERS = 2048
 BACK_US = 500_000  # when to send again what a disk refused; it is asked as often (`Timing.retry_us`)
-LAST_VOTE_S = 0.5  # that one which led goes on voting when it ends
+LAST_VOTE_S = 0.5  # for others to take over when this one ends
 SHELF_PAUSE_S = 0.25  # between two writes of what has been told
 
 
@@ -88,7 +88,6 @@
         self.holder: Holder | None = None
         self.platform = Platform(node.cloud_api)
         self.following = Following(self.paths, self.follower, self)
-        self.led = False  # when it was asked to end
         self.shelf = shelf
         self.shelved: dict[str, tuple[int, int]] = {}  # stamps of what is on the shelf
         self.shelving: asyncio.Task[None] | None = None
@@ -156,6 +155,9 @@
         elif kind == "push":
             if self.holder is not None and self.member.holds(self.now()):
                 channel.reply(frame, wire.Frame(totals=self.holder.push(self.now(), frame.push)))
+                alarm = self.holder.alarm(self.now())
+                if alarm is not None:
+                    self.tell_all(wire.Frame(totals=alarm))
         elif kind == "order":
             task = self.loop.create_task(self.settle_for(frame, channel))
             task.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -174,10 +176,11 @@
 
     def tell_watchers(self) -> None:
         """A grown vector, unasked: whoever lacks it pulls at once."""
-        heard = self.heard()
+        self.tell_all(wire.Frame(beat_heard=self.heard()))
+
+    def tell_all(self, frame: wire.Frame) -> None:
+        self.paths.sign(frame)
         for ip, channel in list(self.watchers.items()):
-            frame = wire.Frame(beat_heard=heard)
-            self.paths.sign(frame)
             if not channel.write(frame):
                 del self.watchers[ip]
 
@@ -291,6 +294,9 @@
             self.end_duties()
         if self.holder is not None:
             self.holder.fleet(now, self.presence.may_serve())
+            standing = self.holder.standing()
+            if standing is not None:
+                self.note(Note(Event.TOTALS_HELD, {"epoch": self.holder.life, **standing}))
             self.tell_ingresses()
         self.carry_sends(self.follower.tick(now))
         if self.shelf is not None and (self.shelving is None or self.shelving.done()):
@@ -325,12 +331,11 @@
             self.holder.fleet(now, self.presence.may_serve())
             if self.configuration is not None:
                 self.holder.configure(now, self.configuration.tenants)
-            self.note(Note(Event.TOTALS_HELD, {"epoch": epoch}))
         self.duty = self.loop.create_task(self.read_list(epoch))
 
     def tell_ingresses(self) -> None:
         """Who may be serving, as rows: by how many a quota is divided, and who knows whom."""
-        rows = self.presence.rows()
+        rows = self.presence.rows(self.now())
         if rows != self.entrance.values():
             epoch, seq = self.entrance.stamp
             stamp = (self.member.epoch, seq + 1 if epoch == self.member.epoch else 1)
@@ -341,7 +346,7 @@
         self.holder = None
         if self.duty is not None:
             self.duty.cancel()
-        self.note(Note(Event.TOTALS_LOST))
+        self.note(Note(Event.TOTALS_LEFT))
 
     def on_duty(self, epoch: int) -> bool:
         return self.member.holds(self.now()) and self.member.epoch == epoch
@@ -395,17 +400,16 @@
         self.follower.reseed([host for host, _ in node.seed_nodes])
 
     def leave(self) -> None:
-        """If it leads, another is to lead at once."""
-        self.led = self.member.holds(self.now())
+        """Another is to lead, or to hold the copy, at once."""
         self.feed(comb.Retire())
 
     async def close(self, deadline_s: float) -> None:
-        """Votes on until another leads, if it led.
+        """Votes on until others have taken over, for a while.
 
         :param deadline_s: on the loop's clock
         """
         end = min(deadline_s, self.loop.time() + LAST_VOTE_S)
-        while self.led and not self.member.primary and self.loop.time() < end:
+        while self.member.needed and self.loop.time() < end:
             await asyncio.sleep(TICK_S)
         await self.following.close()
         if self.duty is not None:
