--- a/vetchusher/emulator/comb_world.py
+++ b/vetchusher/emulator/comb_world.py
@@ -39,6 +39,7 @@
 from vetchusher.kinds import Fault, Kind
 from vetchusher.waggle.wire_pb2 import CombLetter
 
+from .call_history import History, Read, Wrote
 from .comb_judge import Judge
 from .tier_world import MS, SECOND
 
@@ -107,11 +108,13 @@
         self.rng = random.Random(scene.seed)
         self.at = 0
         self.serial = 0
+        self.played = 0  # events
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
         self.judge = Judge()
         self.cuts: set[tuple[str, str]] = set()  # from, to
         self.no_writes: set[str] = set()  # letters with a state are lost on their way there
         self.attempts: dict[int, tuple[str, Answer]] = {}
+        self.history = History()  # of configurations; zones are the judge's
         self.events: Counter[str] = Counter()
         self.log: list[tuple[int, str, Note]] = []
         self.loss, self.late = scene.loss, scene.late
@@ -134,6 +137,7 @@
         while self.heap and self.heap[0][0] <= until and len(self.judge.wrong) < 5:
             self.at, _, what = heapq.heappop(self.heap)
             self.judge.at = self.at
+            self.played += 1
             what()
         self.at = self.judge.at = max(self.at, until)
 
@@ -340,8 +344,12 @@
             answer(out.outcome)
 
     def replace(self, ip: str, version: int, then: Callable[[bool], None]) -> None:
+        began, number = self.at / SECOND, len(self.history.writes)
+        self.history.writes.append(Wrote(version, began))
+
         def answer(outcome: Result[bytes, Fault]) -> None:
             if isinstance(outcome, Success):
+                self.history.writes[number] = Wrote(version, began, self.at / SECOND)
                 self.judge.acked(version)
             then(isinstance(outcome, Success))
 
@@ -359,12 +367,13 @@
 
     def retrieve(self, ip: str, then: Callable[[int | None], None]) -> None:
         """`then` is told the version that was read, None without an answer."""
-        floor = self.judge.floor()
+        floor, made = self.judge.floor(), self.at
 
         def answer(outcome: Result[bytes, Fault]) -> None:
             if isinstance(outcome, Success):
-                self.judge.reads(outcome.unwrap(), floor)
-                then(self.judge.read)
+                version = self.judge.reads(outcome.unwrap(), floor)
+                self.history.reads.append(Read(version, made / SECOND, self.at / SECOND, ip))
+                then(version)
             else:
                 then(None)
 
