--- a/benchmarks/control_days/__main__.py
+++ b/benchmarks/control_days/__main__.py
@@ -2,9 +2,9 @@
 
 Usage:
   control_days draw SITE... --into FOLDER --bench PROGRAM [--days N] [--seed N] [--traffic X] [--replacement]
-               [--without KINDS]
+               [--halves] [--without KINDS]
   control_days play SITE... --into FOLDER --bench PROGRAM --why TEXT [--days N] [--seed N] [--traffic X]
-               [--replacement] [--without KINDS] [--jobs N] [--keep FILE]
+               [--replacement] [--halves] [--without KINDS] [--jobs N] [--keep FILE]
   control_days table FOLDER [--before FOLDER] [--keep FILE]
   control_days (-h | --help)
 
@@ -20,6 +20,7 @@
   --seed N         The first day's seed [default: 1].
   --traffic X      Part of the site's own traffic [default: 0.3].
   --replacement    Every day begins with the replacement of a core machine.
+  --halves         Every day begins with the core cut into two halves.
   --without KINDS  Kinds that are left out, with commas between them.
   --jobs N         Days at the same time [default: 2].
   --before FOLDER  Where the same days were played by an earlier program.
@@ -67,6 +68,7 @@
         int(arguments["--seed"]),
         float(arguments["--traffic"]),
         bool(arguments["--replacement"]),
+        bool(arguments["--halves"]),
     )
 
 
--- a/benchmarks/control_days/draw.py
+++ b/benchmarks/control_days/draw.py
@@ -14,11 +14,13 @@
 
 from .scenes import (
     FIRST_S,
+    HALVES_SCENES,
     LAST_ENTRY_S,
     REPLACEMENT_SCENES,
     SCENES,
     Deployment,
     Entry,
+    Scene,
     Timeline,
     choices_of,
     several,
@@ -38,6 +40,7 @@
     :param kinds: of trouble that may come on the deployment
     :param traffic: part of the borrowed day's requests
     :param replacement: every day has the replacement of a core machine
+    :param halves: every day has the core cut into two halves
     """
 
     kinds: frozenset[str]
@@ -45,6 +48,13 @@
     seed: int
     traffic: float
     replacement: bool = False
+    halves: bool = False
+
+    def scenes(self) -> tuple[Scene, ...]:
+        """The scenes that a day may begin with."""
+        if self.halves:
+            return HALVES_SCENES
+        return REPLACEMENT_SCENES if self.replacement else SCENES
 
 
 def deployment_of(site: Mapping[str, Any]) -> Deployment:
@@ -61,7 +71,7 @@
     rng = random.Random(f"{site['name']} {request.seed} {request.replacement}")
     variants = variants_of(request.kinds, site["config"]["invalid"])
     choices = choices_of(rng, deployment_of(site), variants)
-    scenes = ShuffledCycle(rng, REPLACEMENT_SCENES if request.replacement else SCENES)
+    scenes = ShuffledCycle(rng, request.scenes())
     closings = ShuffledCycle(rng, CLOSINGS)
     borrowed = [day for day in site["day"] if day["slot"] == "trouble"]
     for number in range(request.count):
--- a/benchmarks/control_days/scenes.py
+++ b/benchmarks/control_days/scenes.py
@@ -17,6 +17,7 @@
 LONG_CUT_S = (18.0, 25.0)
 MANY_CHANGES = 190
 LAST_ENTRY_S = 30.0
+CHANGES_IN_HALVES = 4
 CHAIN_LENGTHS = (2, 3, 3, 4)  # of troubles that begin with a replacement
 SUCCESSOR_AFTER_S = (0.3, 1.0, 3.0, 8.0)  # from the end of a replaced machine to the start of the next
 CLOCK_STEP_MS = (800.0, 2_500.0, 9_000.0)
@@ -76,6 +77,7 @@
     replacements: ShuffledCycle[Variant]
     losses: GroupedCycle[Variant]
     cuts: ShuffledCycle[Variant]
+    halves: ShuffledCycle[Variant]
     everything: GroupedCycle[Variant]
     moments: ShuffledCycle[Moment]
     carriers: ShuffledCycle[Variant]
@@ -164,6 +166,22 @@
     timeline.add(choices.entry(choices.losses.draw(), choices.after(cut, Moment.AS_IT_HEALS)))
 
 
+def two_halves(choices: Choices, timeline: Timeline) -> None:
+    """The core in two halves, changes meanwhile, and a loss during the cut or at a moment seen from its end."""
+    cut = choices.entry(choices.halves.draw(), timeline.at + choices.rng.uniform(*BEFORE_PAIR_S))
+    timeline.add(cut)
+    for _ in range(CHANGES_IN_HALVES):
+        timeline.add(choices.carrier(choices.rng.uniform(cut.at, cut.ends)))
+    timeline.add(choices.entry(choices.losses.draw(), choices.after(cut, choices.moments.draw())))
+
+
+def halves_in_turn(choices: Choices, timeline: Timeline) -> None:
+    """Two cuts into halves, the second soon after the first, changes all along, and a replacement between them."""
+    two_halves(choices, timeline)
+    timeline.add(choices.entry(choices.replacements.draw(), timeline.at + choices.rng.uniform(0.0, 2.0)))
+    two_halves(choices, timeline)
+
+
 def many_changes(choices: Choices, timeline: Timeline) -> None:
     """Changes all day long, and losses in between."""
     many_changes_only(choices, timeline)
@@ -228,6 +246,7 @@
     replacements_in_turn,
     replacement_among_changes,
 )
+HALVES_SCENES: tuple[Scene, ...] = (two_halves, two_halves, halves_in_turn)
 SCENES: tuple[Scene, ...] = (pair, pair, triple, triple, long_cut, many_changes, several)
 
 
@@ -243,6 +262,7 @@
         replacements=ShuffledCycle(rng, [one for one in losses if one.group is Group.REPLACEMENT]),
         losses=by_kind(rng, losses),
         cuts=ShuffledCycle(rng, [one for one in losses if one.kind == "core_cut"]),
+        halves=ShuffledCycle(rng, [one for one in variants if one.group is Group.HALVES]),
         everything=by_kind(rng, [one for one in variants if one.kind != "config_change"]),
         moments=ShuffledCycle(rng, list(Moment)),
         carriers=ShuffledCycle(rng, carriers),
--- a/benchmarks/control_days/variants.py
+++ b/benchmarks/control_days/variants.py
@@ -17,6 +17,7 @@
 
     REPLACEMENT = "replacement"  # a core machine is gone for good and an empty one comes
     LOSS = "loss"  # a core machine is down, cut off, frozen or without its disk for a while
+    HALVES = "halves"  # the core is cut into two halves, whatever the deployment tolerates
     STRAIN = "strain"  # no core machine is lost, but clocks, disks, connections or answers are harmed
     CHANGE = "change"  # orders of the operator
     TRAFFIC = "traffic"  # clients, servers and ingresses
@@ -88,7 +89,14 @@
     "leader meet drain",
     "leader one_way meet drain",
     "leader race hard",
+    "behind",
+    "all",
+    "near",
+    "oldest",
+    "lure",
+    "relieve",
 )
+HALVES = ("split", "split", "split reset", "split meet", "split race", "split both", "split relieve")
 CORE_KILLS = (
     "",
     "leader",
@@ -104,6 +112,7 @@
 )
 REPLACEMENT_HOWS = ("", "planned", "leader", "planned leader", "seed", "reader")
 ACKNOWLEDGING = ("", "kill", "timed", "taken")
+WIPING = (*ACKNOWLEDGING, "oldest")
 
 CORE_ROWS: tuple[_Rows, ...] = (
     _Rows(
@@ -114,12 +123,13 @@
         planned_hows=frozenset(how for how in REPLACEMENT_HOWS if "planned" in how),
     ),
     _Rows("core_cut", Group.LOSS, CORE_CUTS, counted=True),
+    _Rows("core_cut", Group.HALVES, HALVES),
     _Rows("node_kill", Group.LOSS, CORE_KILLS, ON_CORE, counted=True),
     _Rows("after_ack_kill", Group.LOSS, ACKNOWLEDGING, counted=True),
-    _Rows("after_ack_wipe", Group.LOSS, ACKNOWLEDGING, counted=True),
+    _Rows("after_ack_wipe", Group.LOSS, WIPING, counted=True),
     _Rows("node_freeze", Group.LOSS, ("", "leader"), ON_CORE, counted=True),
     _Rows("node_slow", Group.LOSS, ("", "leader"), (*ON_CORE, ("x", 5.0)), counted=True),
-    _Rows("herd_kill", Group.LOSS, ("", "power", "race drain", "taken"), ON_CORE),
+    _Rows("herd_kill", Group.LOSS, ("", "power", "race drain", "taken", "taken all", "off"), ON_CORE),
     _Rows("zone_loss", Group.LOSS, ("", "race", "race drain", "meet drain")),
     _Rows("zone_cut", Group.LOSS, ("", "refuse", "reset", "drop race drain")),
     _Rows("roll_term", Group.LOSS, ("", "busy"), (*ON_CORE, ("gap_s", 1.0)), planned=True, lasts=False),
@@ -204,7 +214,7 @@
     Closing(),
     Closing("power_off_all"),
     Closing("kill_all"),
-    *(Closing("wipe_after_ack", how) for how in ("", "aimed", "timed", "taken")),
+    *(Closing("wipe_after_ack", how) for how in ("", "aimed", "timed", "taken", "oldest", "timed oldest")),
     Closing("power_off_all", "timed"),
     Closing("kill_all", "timed"),
 )
