--- a/benchmarks/control_days/scenes.py
+++ b/benchmarks/control_days/scenes.py
@@ -167,7 +167,7 @@
 
 
 def two_halves(choices: Choices, timeline: Timeline) -> None:
-    """The core in two halves, changes meanwhile, and a loss during the cut or at a moment seen from its end."""
+    """The core in two halves, changes meanwhile, and a loss at a moment seen from the cut."""
     cut = choices.entry(choices.halves.draw(), timeline.at + choices.rng.uniform(*BEFORE_PAIR_S))
     timeline.add(cut)
     for _ in range(CHANGES_IN_HALVES):
@@ -176,7 +176,7 @@
 
 
 def halves_in_turn(choices: Choices, timeline: Timeline) -> None:
-    """Two cuts into halves, the second soon after the first, changes all along, and a replacement between them."""
+    """Two cuts into halves, a replacement between them, and changes all along."""
     two_halves(choices, timeline)
     timeline.add(choices.entry(choices.replacements.draw(), timeline.at + choices.rng.uniform(0.0, 2.0)))
     two_halves(choices, timeline)
