Elections: of candidates that ask at the same time one gives way; pauses grow with lost rounds

Cause: where a vote takes longer than the random pauses differ (links of 150 ms, disks of 400 ms), two copies collect favourable pre-votes, split the votes, wait out vote_timeout and meet again. A candidate that still collects pre-votes now gives way once to the lower address, or to a copy that is further on; one that voted for itself encourages nobody; a lost round ends with the last refusal; the pause doubles with each lost round.

Ruled out: witnesses that favour the first to ask only (their favourite may be the one that gave way).

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -43,6 +43,9 @@
 
 CALM = Scene(loss=0.0, late=0.0)
 FIVE = Scene(seeds=5, losses=2)
+SLOW_FIVE = Scene(
+    seeds=5, losses=2, least_us=100 * MS, most_us=200 * MS, disk_us=100 * MS, loss=0.1, late=0.05, doubled=0.0
+)
 STORIES = {
     "takeover": (
         """
@@ -514,6 +517,28 @@
         """,
         Scene(),
     ),
+    "five lose power again and again, and messages are slow": (
+        """
+        s        | 1 east | 2 east | 3 west | 4 west | 5 north | operator
+        0        |        |        |        |        |         | r5
+        ack      | off    | off    | off    | off    | off     |
+        ack+0.5  | on     | on     | on     | on     | on      |
+        ack+5    | off    | off    | off    | off    | off     |
+        ack+5.5  | on     | on     | on     | on     | on      |
+        ack+10   | off    | off    | off    | off    | off     |
+        ack+10.5 | on     | on     | on     | on     | on      |
+        ack+15   | off    | off    | off    | off    | off     |
+        ack+15.5 | on     | on     | on     | on     | on      |
+        ack+20   | off    | off    | off    | off    | off     |
+        ack+20.5 | on     | on     | on     | on     | on      |
+        ack+25   | off    | off    | off    | off    | off     |
+        ack+25.5 | on     | on     | on     | on     | on      |
+        ack+30   | off    | off    | off    | off    | off     |
+        ack+30.5 | on     | on     | on     | on     | on      |
+        ack+36   |        |        |        |        |         | reads r5
+        """,
+        SLOW_FIVE,
+    ),
 }
 
 # Each guard taken out, and the story (or the random search) that finds it.
@@ -539,7 +564,7 @@
     "votes at once after a start": "a voter restarts inside the lease that it gave",
     "anybody is taken for the owner": "a voter restarts inside the lease that it gave",
     "leads on after handing over": "an orderly end",
-    "an epoch promised twice": "random search",
+    "an epoch promised twice": "five lose power again and again, and messages are slow",
     "any epoch is followed": "primary stopped for long with an order waiting",
     "an older copy replaces a newer": "random search",
     "answers before its first write": "a primary with more than the others reads out",
--- a/vetchusher/control/election.py
+++ b/vetchusher/control/election.py
@@ -40,12 +40,12 @@
         timing: Timing,
         durable: DurableState,
         own_ip: str,
-        failed_elections: int,
+        unanswered_elections: int,
         now: int,
     ) -> None:
         """Prepare a candidacy; `request_pre_votes` begins it.
 
-        :param failed_elections: candidacies in a row that came to nothing; each waits longer for replies
+        :param unanswered_elections: candidacies in a row that lacked replies; each waits longer for them
         """
         self.timing = timing
         self.durable = durable
@@ -53,7 +53,7 @@
         self.released_epoch = 0  # of a primary that handed its lease over to this machine
         # Answers may take longer than was thought: each try waits longer for them.
         self.pre_vote_timeout_us = min(
-            timing.pre_vote_timeout_us << min(failed_elections, 8), timing.vote_timeout_us
+            timing.pre_vote_timeout_us << min(unanswered_elections, 8), timing.vote_timeout_us
         )
         self.stage = Stage.PRE_VOTE
         self.stage_began_at = now
@@ -138,6 +138,32 @@
         """Return whether the pre-votes suffice."""
         return self.stage is Stage.PRE_VOTE and self.has_quorum(self.pre_votes)
 
+    def is_lost(self) -> bool:
+        """Return whether every voter asked has answered, and too few voted for this machine."""
+        if self.stage is not Stage.REQUESTING_VOTES or self.unanswered:
+            return False
+        return not self.has_quorum(self.votes)
+
+    def may_yield_to(self, other: str) -> bool:
+        """Return whether this candidacy gives way to another machine's that began at the same time.
+
+        Of two that still collect pre-votes the one of the lower address goes on.  Each knows that of the
+        other as its request comes, so one of them does whichever arrives first.
+        """
+        return self.stage is Stage.PRE_VOTE and other < self.own_ip
+
+    def copy_further_on(self) -> str:
+        """Return a machine of the newest replica set whose copy is newer than this one's; empty: there is
+        none.
+        """
+        copies = self.newest_replica_set(self.pre_votes).copies
+        newer = [
+            (stamp_tuple(reply.stamp), ip)
+            for ip, reply in self.pre_votes.items()
+            if reply.copy and ip in copies and stamp_tuple(reply.stamp) > state_stamp(self.durable.state)
+        ]
+        return max(newer)[1] if newer else ""
+
     def choose_epoch(self, now: int) -> None:
         """Vote for this machine in an epoch higher than any known vote."""
         self.epoch = max(self.highest_epoch_seen, self.durable.voted_epoch) + 1
--- a/vetchusher/control/follower.py
+++ b/vetchusher/control/follower.py
@@ -62,6 +62,10 @@
     def give_up_leadership(self, reason: str) -> None:
         """Stop being primary or candidate."""
 
+    @abstractmethod
+    def yield_election(self, now: int, sender: str) -> None:
+        """Leave the field to a machine that asks for pre-votes, if this one would stand against it."""
+
     @abstractmethod
     def on_join(self, now: int, join: Join) -> None:
         """Take, or forward to the primary, the request of a machine that does not vote."""
@@ -72,6 +76,8 @@
         """Answer a vote request; one of epoch 0 is a pre-vote, which promises nothing."""
         delay = self.vote_delay(now, sender, request.released)
         if request.epoch == 0:
+            if not delay:
+                self.yield_election(now, sender)
             delay = max(delay, self.voter.election_back_off(now, sender))
             if sender not in voters(self.durable.replica_set) and not self.is_amnesiac:
                 self.on_join(now, Join(ip=sender))  # it was removed while it was away
--- a/vetchusher/control/replica.py
+++ b/vetchusher/control/replica.py
@@ -218,12 +218,13 @@
         """Do what is due by time."""
         self.voter.expire_lease(now)
         if self.voter.leaseholder:
-            self.failed_elections = 0
+            self.unanswered_elections = self.lost_elections = 0
+            self.may_yield = True
         primary, candidate = self.primary_role, self.candidate
         if primary is not None:
             self.tick_primary(now)
         elif candidate is not None:
-            if candidate.timed_out(now):
+            if candidate.timed_out(now) or candidate.is_lost():
                 self.end_candidacy(candidate)
         elif self.recovery is not None:
             self.outputs += self.recovery.tick(now)
--- a/vetchusher/control/roles.py
+++ b/vetchusher/control/roles.py
@@ -27,7 +27,7 @@
 
 from .amnesia import AmnesiaRecovery
 from .durable_state import DurableState
-from .election import Candidate
+from .election import Candidate, Stage
 from .epoch import EpochContext
 from .follower import Follower
 from .messages import Completed, ReplicaSettings, Send, Submitted
@@ -36,6 +36,8 @@
 from .state import replica_set_id, voters
 from .voter import Voter
 
+MAX_JITTER_DOUBLINGS = 3
+
 
 class RoleTransitions(Follower):
     """A follower that may also be candidate, primary, learner or amnesiac.
@@ -64,7 +66,9 @@
         self.candidate: Candidate | None = None
         self.primary_role: Primary | None = None
         self.election_due_at: int | None = None
-        self.failed_elections = 0  # in a row
+        self.unanswered_elections = 0  # in a row
+        self.lost_elections = 0  # in a row; each raised an epoch, and too few voted for it
+        self.may_yield = True  # once from one primary to the next
         self.last_join_at = now
         self.shutting_down = False
 
@@ -96,17 +100,44 @@
         elif self.election_due_at is None:
             # All copies may be on machines that are shutting down; then one of these leads once more.
             delay_us = self.timing.leaving_election_delay_us if self.shutting_down else 0
-            self.election_due_at = now + delay_us + self.rng.randrange(self.timing.election_jitter_us)
+            self.election_due_at = now + delay_us + self.rng.randrange(self.election_jitter_us())
         elif now >= self.election_due_at:
             self.candidate = self.new_candidate(now)
             self.outputs += self.candidate.request_pre_votes()
 
+    def election_jitter_us(self) -> int:
+        """Return the bound of the random pause before a candidacy.
+
+        It doubles with each election lost in a row: where a vote takes longer than the pauses differ, the
+        same candidates would split the votes round after round.
+        """
+        return self.timing.election_jitter_us << min(self.lost_elections, MAX_JITTER_DOUBLINGS)
+
+    def yield_election(self, now: int, sender: str) -> None:
+        """Leave the field to a machine that asks for pre-votes, if this one would stand against it.
+
+        Once from one primary to the next: the other may be one that hears no answers.
+        """
+        replica_set = self.durable.replica_set
+        can_stand = self.durable.has_copy and not self.is_amnesiac and self.own_ip in replica_set.copies
+        if not self.may_yield or not can_stand or sender not in replica_set.copies:
+            return
+        if self.candidate is not None and not self.candidate.may_yield_to(sender):
+            return
+        self.give_way(now, sender)
+
+    def give_way(self, now: int, other: str) -> None:
+        """Stand for no election for a while: another machine is to be elected."""
+        self.may_yield = False
+        self.candidate, self.election_due_at = None, None
+        self.voter.defer_to(now, other)
+
     def new_candidate(self, now: int, released_epoch: int = 0) -> Candidate:
         """Return a candidacy of this machine.
 
         :param released_epoch: epoch whose primary has handed its lease over to this machine; 0: none
         """
-        candidate = Candidate(self.timing, self.durable, self.own_ip, self.failed_elections, now)
+        candidate = Candidate(self.timing, self.durable, self.own_ip, self.unanswered_elections, now)
         candidate.released_epoch = released_epoch
         return candidate
 
@@ -118,7 +149,12 @@
     def run_election(self, now: int, candidate: Candidate) -> None:
         """Carry a candidacy on as far as the replies allow."""
         if candidate.may_request_votes() and not self.vote_delay(now, self.own_ip):
+            further_on = candidate.copy_further_on() if self.may_yield else ""
+            if further_on:
+                self.give_way(now, further_on)
+                return
             candidate.choose_epoch(now)
+            self.voter.defer_to(now, self.own_ip)
         self.outputs += candidate.request_votes_when_synced(now)
         if candidate.timed_out(now) or not candidate.is_elected():
             return
@@ -128,7 +164,8 @@
     def end_candidacy(self, candidate: Candidate) -> None:
         """Give up a candidacy whose time is over."""
         self.candidate, self.election_due_at = None, None
-        self.failed_elections = self.failed_elections + 1 if candidate.unanswered else 0
+        self.unanswered_elections = self.unanswered_elections + 1 if candidate.unanswered else 0
+        self.lost_elections += candidate.stage is Stage.REQUESTING_VOTES
 
     # -- leadership ------------------------------------------------------------------------------
 
