--- a/vetchusher/emulator/control/search.py
+++ b/vetchusher/emulator/control/search.py
@@ -4,7 +4,8 @@
 Two kinds of rounds.  *Wild*: any number of processes, disks and links fail in any way, and up to a minority
 of the members loses its disk, each once.  *Careful*: no more machines are lost at a time than are
 tolerated, one counting as lost until it has had its time to catch up after its return, or its successor has
-where it is replaced by another machine at another address (planned, the new one first, or not).  At each
+where it is replaced by another machine at another address (planned, the new one first, or not).  The voters
+may be cut into two halves meanwhile, whatever is tolerated; all others reach both.  At each
 moment of it every further loss that is tolerated must be bearable (`closure`).  It may end with a closing
 fault, right after an acknowledgement: a zone's disks are lost, or as many as are tolerated, while every other
 machine loses power.
@@ -32,6 +33,7 @@
 WATCH = 50 * MS  # between two looks at whether every further loss would be borne
 CALM = 5 * SECOND  # of a majority, after which an order is acknowledged within as long again
 NEVER = 1 << 60
+LONGEST_HALVES = 6 * SECOND
 RACERS = 8  # orders under way at once
 
 
@@ -39,6 +41,7 @@
 class Search:
     """:param tolerated: machines that may be lost at a time
     :param kinds: of faults; empty: all
+    :param halves: part of the careful rounds in which the voters are cut into two halves
     :param replacing: part of the losses of a careful round after which another machine takes the place
     :param every: mean time between two faults of a round
     :param gap: longest pause of an operator between two orders
@@ -51,6 +54,7 @@
     kinds: tuple[str, ...] = ()
     wild: float = 0.5
     closing: float = 0.7
+    halves: float = 0.4
     replacing: float = 0.3
     every: int = 500 * MS
     gap: int = 300 * MS
@@ -209,7 +213,9 @@
         self.world.after(length, ended)
 
     def lost(self) -> set[str]:
-        return {ip for ip, until in self.lost_until.items() if until > self.world.at}
+        """Machines that count as lost; while the voters are in two halves nobody catches up."""
+        now = self.world.at - (LONGEST_HALVES if self.world.halves[0] else 0)
+        return {ip for ip, until in self.lost_until.items() if until > now}
 
     def fresh(self) -> set[str]:
         return {ip for ip, until in self.fresh_until.items() if until > self.world.at}
@@ -334,6 +340,8 @@
         ends = world.at + rng.randrange(SECOND, 6 * SECOND)
         self.careful = True
         self.watch()
+        if rng.random() < self.search.halves:
+            world.after(rng.randrange(ends - world.at), self.cut_in_halves)
         while world.at < ends and not world.judge.wrong:
             self.careful_loss()
             self.passes(self.until_the_next())
@@ -346,6 +354,21 @@
         self.committed(self.present())
         self.passes(self.catch_up)
 
+    def cut_in_halves(self) -> None:
+        """Cut the voters into two halves for some seconds; nothing is lost by it."""
+        voters = self.members()
+        self.rng.shuffle(voters)
+        middle = len(voters) // 2
+        self.world.halves = frozenset(voters[:middle]), frozenset(voters[middle:])
+        self.world.after(self.rng.randrange(300 * MS, LONGEST_HALVES), self.join_halves)
+
+    def join_halves(self) -> None:
+        """Join the halves: a machine that was lost meanwhile has its time to catch up from now on."""
+        self.world.halves = frozenset(), frozenset()
+        for until in (self.lost_until, self.fresh_until):
+            for ip in [ip for ip, end in until.items() if self.world.at - LONGEST_HALVES < end < NEVER]:
+                until[ip] = self.world.at + self.catch_up
+
     def until_the_next(self) -> int:
         """The pause before the next loss of a careful round: drawn, or until the very moment when one more is
         tolerated again."""
--- a/vetchusher/emulator/control/world.py
+++ b/vetchusher/emulator/control/world.py
@@ -161,6 +161,7 @@
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
         self.judge = Judge()
         self.cut_links: set[tuple[str, str]] = set()  # from, to
+        self.halves: tuple[frozenset[str], frozenset[str]] = (frozenset(), frozenset())  # cut from each other
         self.no_writes: set[str] = set()  # messages with a state are lost on their way there
         self.attempts: dict[int, Attempt] = {}
         self.history = History()  # of configurations; zones are the judge's
@@ -232,7 +233,7 @@
         other = self.machines.get(machine.member.primary_ip) if machine.member is not None else None
         if other is None or other.member is None or other.frozen or machine.ip in self.no_writes:
             return
-        if not {(machine.ip, other.ip), (other.ip, machine.ip)} & self.cut_links:
+        if not self.is_cut(machine.ip, other.ip) and not self.is_cut(other.ip, machine.ip):
             machine.sent_messages = max(machine.sent_messages, other.sent_messages)
 
     def give(self, machine: Machine, event: Input) -> None:
@@ -388,9 +389,15 @@
     def deliver(self, sender: Machine, to: str, data: bytes) -> None:
         message = ControlMessage.FromString(data)
         lost = to in self.no_writes and message.WhichOneof("kind") == "write"
-        if not lost and (sender.ip, to) not in self.cut_links:
+        if not lost and not self.is_cut(sender.ip, to):
             self.give(self.machines[to], Received(sender.ip, sender.zone, message))
 
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        """Whether nothing gets through from one machine to another."""
+        one, other = self.halves
+        across = (sender in one and receiver in other) or (sender in other and receiver in one)
+        return across or (sender, receiver) in self.cut_links
+
     def cut_link(self, ip: str, hears: bool = False, is_heard: bool = False) -> None:
         """One machine from all others, both ways or one."""
         for other in self.machines.keys() - {ip}:
@@ -443,7 +450,7 @@
         to = member.primary_ip
         if to == ip or not to:
             return to or None
-        return to if not {(ip, to), (to, ip)} & self.cut_links else None
+        return None if self.is_cut(ip, to) or self.is_cut(to, ip) else to
 
     def done(self, machine: Machine, out: Completed) -> None:
         attempt = self.attempts.pop(out.order_id, None)
