Priorities: while a service has no room for urgent requests, less urgent ones give way

Each ingress keeps a probability of rejection for each service and level of urgency (the tenant's priority, then the route's); it rises as more urgent requests find no room and falls as they do, up to 0.6, so nobody starves. Under pressure a level starts no hedged attempt and leaves half of the retry budget.

Ruled out: an urgent kind's errors and late answers as a sign (a crash or a slow server would shed for nothing).

--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -46,7 +46,7 @@
     def on_request(self, now, service):
         pass
 
-    def take_attempt(self, now, service):
+    def take_attempt(self, now, service, *, leave_reserve=False):
         return True
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -64,7 +64,7 @@
     def on_request(self, now, service):
         self.firsts += 1
 
-    def take_attempt(self, now, service):
+    def take_attempt(self, now, service, *, leave_reserve=False):
         self.extra -= 1
         return self.extra >= 0
 
--- a/vetchusher/quota/retry_budget.py
+++ b/vetchusher/quota/retry_budget.py
@@ -21,6 +21,7 @@
 
 MIN_DEPTH = 2.0  # tries at once that an ingress may need; more of them cost a part of the ratio
 SLACK_RATIO = 0.95  # the rest is for ingresses that know of one another a moment late
+RESERVE_RATIO = 0.5  # of the most that a budget may hold: left to more urgent requests that lack room
 SLOTS = 10  # of a window, in which requests are counted
 
 
@@ -70,13 +71,17 @@
         budget.recent += 1
         budget.level = min(self.max_level(budget), budget.level + self.gain)
 
-    def take_attempt(self, now: int, service: str) -> bool:
-        """Return whether one more further attempt may be made; if so it is taken."""
+    def take_attempt(self, now: int, service: str, *, leave_reserve: bool = False) -> bool:
+        """Return whether one more further attempt may be made; if so it is taken.
+
+        :param leave_reserve: a part of the budget is to be left to more urgent requests
+        """
         budget = self.budgets.get(service)
         if budget is None:
             return False
         self.expire_slots(now, budget)
-        if budget.level < 1.0:
+        reserve = RESERVE_RATIO * self.max_level(budget) if leave_reserve else 0.0
+        if budget.level < 1.0 + reserve:
             return False
         budget.level -= 1.0
         return True
--- a/vetchusher/routing/context.py
+++ b/vetchusher/routing/context.py
@@ -9,6 +9,7 @@
 from vetchusher.errors import Error, ErrorCode
 from vetchusher.settings.configuration import Configuration, Route
 
+from .priority import PriorityShedder
 from .routes import RouteTable
 from .server_selection import ServerSelector
 
@@ -32,8 +33,11 @@
     def on_request(self, now: int, service: str) -> None:
         """Count a request that goes to its first server."""
 
-    def take_attempt(self, now: int, service: str) -> bool:
-        """Return whether one more further attempt may be made; if so it is taken."""
+    def take_attempt(self, now: int, service: str, *, leave_reserve: bool = False) -> bool:
+        """Return whether one more further attempt may be made; if so it is taken.
+
+        :param leave_reserve: a part of the budget is to be left to more urgent requests
+        """
 
 
 @dataclass(slots=True)
@@ -49,12 +53,18 @@
     quotas: TenantQuotas
     retry_budget: AttemptBudget
     rng: random.Random
+    shedder: PriorityShedder = field(init=False)
     table: RouteTable | None = None
     fresh_until: int = -1
     response_times: dict[str, float] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Begin with nothing to shed."""
+        self.shedder = PriorityShedder(self.rng)
+
     def configure(self, configuration: Configuration) -> None:
         """Take a configuration."""
+        self.shedder.keep_services(set(configuration.services))
         self.table = RouteTable(configuration)
         self.choice.configure(configuration.services)
         names = {route.name for route in configuration.routes}
--- a/vetchusher/routing/request.py
+++ b/vetchusher/routing/request.py
@@ -17,6 +17,7 @@
 from .claims import CLAIM_OF, DELIVERED, AttemptOutcome, Claim, next_step
 from .context import RoutingContext
 from .headers import ATTEMPT_ID, SUBSCRIBER, TARGET_INSTANCE, TIME_REMAINING, request_headers
+from .priority import urgency_of
 from .routes import RouteTable, allowed_regions, draw_services
 
 RESPONSE_MARGIN_US = 8_000  # a client counts its deadline from when it sent, and an answer needs its way back
@@ -51,6 +52,8 @@
         self.context = context
         self.route = route
         self.tenant = tenant
+        self.urgency = urgency_of(route, tenant)
+        self.lacked_room = False  # a server, or all of them, had no room for it
         self.repeatable = route.route_type.repeatable
         stated = next((v for n, v in head.headers if n.lower() == TIME_REMAINING.lower()), "")
         client_ms = float(stated) if _MILLIS.fullmatch(stated) else MAX_WAIT_MS
@@ -77,12 +80,18 @@
         """Choose the first server and ask for the quota; the body has arrived completely."""
         allowed = allowed_regions(self.route, self.tenant)
         server: Server | None = None
-        for service in draw_services(self.route, self.context.rng):
+        services = draw_services(self.route, self.context.rng)
+        self.service = services[0]
+        if not self.context.shedder.admit(now, self.service, self.urgency):
+            return self._reject(ErrorCode.NO_SERVER_AVAILABLE, "more urgent requests need the room")
+        for service in services:
             server = self.context.choice.choose(now, service, allowed, (), self._failure_cost_us(now))
             if server is not None:
                 self.service = service
                 break
         if now >= self.deadline or server is None:
+            self.lacked_room = server is None
+            self._report_room(now)
             return self._reject(ErrorCode.NO_SERVER_AVAILABLE, "no server has room")
         tenant = self.tenant
         # Safety: counted before it is known that it can be sent, what is refused here would eat the quota.
@@ -118,6 +127,7 @@
             return []
         if outcome not in DELIVERED:
             self.delivered -= 1
+        self.lacked_room = self.lacked_room or outcome is AttemptOutcome.NOT_EXECUTED
         if outcome is AttemptOutcome.NOT_WRITTEN:
             self.tried_servers.discard(server.instance)  # the connection was at fault: a new one may do
         if outcome is AttemptOutcome.ANSWERED:
@@ -144,6 +154,8 @@
         """Hedge a repeatable request that is late: one more attempt elsewhere."""
         if self.is_done or len(self.open_attempts) != 1 or not self.repeatable:
             return []
+        if self.context.shedder.gives_way(now, self.service, self.urgency):
+            return []
         act = self._next_attempt(now)
         return [act] if act is not None else []
 
@@ -152,7 +164,11 @@
         self.is_done = True
         return self._cancel_all(now)
 
+    def _report_room(self, now: int) -> None:
+        self.context.shedder.on_ended(now, self.service, self.urgency, lacked_room=self.lacked_room)
+
     def _forward(self, now: int, number: int) -> list[Action]:
+        self._report_room(now)
         self.is_done, self.forwarded_attempt = True, number
         return [*self._cancel_all(now, but=number), ForwardResponse(number)]
 
@@ -178,7 +194,11 @@
         )
         if server is None:
             return None
-        if self.delivered and not self.context.retry_budget.take_attempt(now, self.service):
+        if self.delivered and not self.context.retry_budget.take_attempt(
+            now,
+            self.service,
+            leave_reserve=self.context.shedder.gives_way(now, self.service, self.urgency),
+        ):
             return None
         return self._send(now, server)
 
@@ -211,6 +231,7 @@
     def _give_up(self, now: int) -> list[Action]:
         if self.failed_response is not None:
             return self._forward(now, self.failed_response)
+        self._report_room(now)
         if not self.may_have_run:
             return self._reject(ErrorCode.NOT_EXECUTED, "no server took it")
         self.is_done = True
