A control machine whose seat was taken learns so, and ends 1.1 s after SIGTERM, not 2.6 s

Cause: the primary renews the leases of voters and learners only; a machine that left its seat heard nothing more and waited until its lease, and then all contacts, had run out. The primary now sends renewals to machines that are shutting down for as long as they answer; their answers count for no majority.

--- a/vetchusher/control/primary.py
+++ b/vetchusher/control/primary.py
@@ -84,9 +84,19 @@
             changing=self.is_changing_voters(now),
         )
         message = ControlMessage(renew=renewal)
-        receivers = [*self.reconfiguration.other_voters(), *self.progress.learners]
+        receivers = [*self.reconfiguration.other_voters(), *self.progress.learners, *self.departed(now)]
         return [Send(ip, message) for ip in receivers] + self.replicator.drop_unneeded_copies(now)
 
+    def departed(self, now: int) -> list[str]:
+        """Return the machines that are shutting down, have no seat any more, and still run.
+
+        They are sent renewals until they end: so they learn that their seat was taken.  Safety: what they
+        answer counts for no majority.
+        """
+        known = {*self.reconfiguration.other_voters(), *self.progress.learners, self.peers.own_ip}
+        reachable = self.peers.contacted_within(now, self.timing.contact_timeout_us)
+        return sorted((self.peers.leaving & reachable) - known)
+
     def probe(self) -> list[Output]:
         """Send all voters a request that anybody answers and that grants no lease."""
         message = ControlMessage(ask=VoteRequest(epoch=0))
