--- a/vetchusher/emulator/system/search.py
+++ b/vetchusher/emulator/system/search.py
@@ -9,6 +9,7 @@
 from functools import partial
 
 from vetchusher.emulator.fleet_world import MS, SECOND
+from vetchusher.node import api_calls
 
 from .scenarios import ACTS, SERVERS
 from .world import ZONES, Scene, World
@@ -55,6 +56,7 @@
         self.trouble_until = world.clock.at + TROUBLE
         world.clock.after(0, self.fault)
         world.clock.after(0, self.operator)
+        world.clock.after(0, self.reader)
         world.run(self.trouble_until + CALM)
         before = world.asked
         ok = sum(world.served.values())
@@ -80,6 +82,13 @@
                 self.world.evacuate(zone, True, lambda: self.later(3 * SECOND, lambda: self.back(zone)))
         self.again(1_500 * MS, self.operator)
 
+    def reader(self) -> None:
+        """Read the configuration at any core machine; whatever it is cut off from, an older one is wrong."""
+        machine = self.rng.choice(self.world.cores)
+        if machine.loop is not None and machine.loop.alive and not machine.loop.frozen:
+            self.world.call(machine.name, api_calls.RetrieveConfiguration(), lambda outcome: None)
+        self.again(400 * MS, self.reader)
+
     def back(self, zone: str) -> None:
         self.world.evacuate(zone, False)
 
@@ -89,9 +98,10 @@
     # -- faults ---------------------------------------------------------------------------------
 
     def fault(self) -> None:
-        kind = self.rng.choice(
-            (self.core, self.ingress, self.ingress, self.server, self.server, self.weather)
-        )
+        kinds = (
+            self.core, self.halves, self.ingress, self.ingress, self.server, self.server, self.weather
+        )  # fmt: skip
+        kind = self.rng.choice(kinds)
         kind()
         self.again(700 * MS, self.fault)
 
@@ -109,6 +119,23 @@
             else:
                 self.trouble(name, act)
 
+    def halves(self) -> None:
+        """The core in two halves, one of them a single machine, whatever else befalls it meanwhile.
+
+        All others reach both.
+        """
+        if "halves" in self.hit:
+            return
+        self.hit.add("halves")
+        name = self.rng.choice([m.name for m in self.world.cores])
+        ACTS["cut from core"](self.world, name)
+
+        def join() -> None:
+            self.hit.discard("halves")
+            ACTS["joined"](self.world, name)
+
+        self.world.clock.after(SECOND + self.rng.randrange(5 * SECOND), join)
+
     def ingress(self) -> None:
         name = self.rng.choice([m.name for m in self.world.ingresses])
         if name not in self.hit:
