--- a/vetchusher/emulator/system/mutations.py
+++ b/vetchusher/emulator/system/mutations.py
@@ -18,7 +18,16 @@
 from vetchusher.distribution.stamps import ZERO_STAMP
 from vetchusher.distribution.subscriber import Contact, SendPull, Subscriber, SubscriberOutput
 from vetchusher.errors import Error, ErrorCode
-from vetchusher.node import api_calls, control_node, edge_node, leader_roles, order_service, proxy
+from vetchusher.node import (
+    api_calls,
+    control_node,
+    edge_node,
+    leader_roles,
+    order_service,
+    proxied_request,
+    proxy,
+)
+from vetchusher.node.attempts import AttemptResult
 from vetchusher.quota.local_quota import LocalQuota
 from vetchusher.quota.retry_budget import RetryBudget
 from vetchusher.routing import claims, context, headers, request, server_selection
@@ -27,7 +36,7 @@
 
 REAL_MERGE, REAL_PLACE = Source.apply, server_selection.ServerSelector._update_usable
 REAL_COORDINATOR_FOR = leader_roles.LeaderRoles.coordinator_for
-REAL_OVER = proxy.ProxiedRequest.on_attempt_report
+REAL_OVER = proxied_request.ProxiedRequest.on_attempt_report
 REAL_EVACUATED = control_state.apply_evacuation
 REAL_CONFIGURED = edge_node.EdgeNode.on_configuration
 REAL_IN_FORCE = Subscriber._on_in_force_reply
@@ -61,15 +70,14 @@
     return REAL_EVACUATED(state, dataclasses.replace(order, previous_order=None))
 
 
-def takes_the_answer_before(
-    self: proxy.ProxiedRequest, number: int, seen: claims.AttemptOutcome, prompt: bool, got: Any
-) -> None:
+def takes_the_answer_before(self: proxied_request.ProxiedRequest, result: AttemptResult) -> None:
     """As if whatever lies on a connection were the answer."""
-    waiting = vars(self.proxy).setdefault("waiting", [])
-    if got is not None:
-        waiting.append(got)
-        got = waiting.pop(0) if len(waiting) > 1 else got
-    REAL_OVER(self, number, seen, prompt, got)
+    waiting = vars(self.host).setdefault("waiting", [])
+    if result.response is not None:
+        waiting.append(result.response)
+        if len(waiting) > 1:
+            result = dataclasses.replace(result, response=waiting.pop(0))
+    REAL_OVER(self, result)
 
 
 def holds_totals_anew(self: leader_roles.LeaderRoles, epoch: int, now: int) -> Any:
@@ -126,13 +134,15 @@
         (context.RoutingContext, "rejection", lambda self, now, kind, text: Error(kind, text)),
     ),
     "the drained are used": ((server_selection.ServerSelector, "_update_usable", keeps_the_drained),),
-    "extra tries without a budget": ((RetryBudget, "take_attempt", lambda self, now, service: True),),
+    "extra tries without a budget": (
+        (RetryBudget, "take_attempt", lambda self, now, service, leave_reserve=False: True),
+    ),
     "totals begin anew with a regained lease": (
         (leader_roles.LeaderRoles, "coordinator_for", holds_totals_anew),
     ),
     "quotas are not judged": ((LocalQuota, "admit", lambda self, now, tenant: True),),
     "answers are not told by their ids": (
-        (proxy.ProxiedRequest, "on_attempt_report", takes_the_answer_before),
+        (proxied_request.ProxiedRequest, "on_attempt_report", takes_the_answer_before),
     ),
     "keys go along to servers": (
         (request, "request_headers", lambda given, keyed: headers.request_headers(given, keyed=False)),
--- a/vetchusher/emulator/system/servers.py
+++ b/vetchusher/emulator/system/servers.py
@@ -12,7 +12,7 @@
 
 from vetchusher.emulator.fleet_world import MS
 from vetchusher.errors import Error, ErrorCode
-from vetchusher.node.attempts import AttemptReport, RequestSpec, ServerResponse
+from vetchusher.node.attempts import AttemptReport, AttemptResult, RequestSpec, ServerResponse
 from vetchusher.node.server_list_client import ServerListClient
 from vetchusher.routing.actions import SendAttempt
 from vetchusher.routing.claims import AttemptOutcome
@@ -169,7 +169,7 @@
     ) -> None:
         def tell() -> None:
             if self.close_off(attempt):
-                attempt.report(attempt.send.number, seen, prompt, got)
+                attempt.report(AttemptResult(attempt.send.number, seen, prompt, got))
 
         self.loop.call_soon(tell)
 
--- a/vetchusher/emulator/system/world.py
+++ b/vetchusher/emulator/system/world.py
@@ -32,7 +32,7 @@
 from vetchusher.node.control_node import ControlNode
 from vetchusher.node.edge_node import EdgeNode
 from vetchusher.node.peer_network import PeerNetwork
-from vetchusher.node.proxy import ProxiedRequest
+from vetchusher.node.proxied_request import ProxiedRequest
 from vetchusher.routing.actions import RequestHead
 from vetchusher.routing.admission import admit_request
 from vetchusher.settings.node import Bounds, Listen, NodeSettings
@@ -442,7 +442,7 @@
                 assert isinstance(answer.body, bytes)
                 self.judge.delivered(asked, answer.status, answer.body)
             self.answered(asked, answer.status, then)
-            flow.close(True)
+            flow.close(completed=True)
 
         loop.create_task(serve())
 
--- a/vetchusher/node/attempts.py
+++ b/vetchusher/node/attempts.py
@@ -76,7 +76,22 @@
     length: int | None
 
 
-AttemptReport = Callable[[int, AttemptOutcome, bool, ServerResponse | None], None]
+@dataclass(slots=True, frozen=True)
+class AttemptResult:
+    """How an attempt ended.
+
+    :param number: of the attempt, within its request
+    :param reset_at_once: it was reset so soon that the server was likely saturated
+    :param response: what may be forwarded; None: nothing
+    """
+
+    number: int
+    outcome: AttemptOutcome
+    reset_at_once: bool = False
+    response: ServerResponse | None = None
+
+
+AttemptReport = Callable[[AttemptResult], None]
 
 
 class ChunkedPayload(Payload):
@@ -264,7 +279,7 @@
             attempt.task.cancel()
         soon = self.loop.time() - attempt.sent_at < IMMEDIATE_RESET_US / 1e6
         prompt = outcome is AttemptOutcome.RESET and soon and not attempt.response_began
-        attempt.report(attempt.send.number, outcome, prompt, response)
+        attempt.report(AttemptResult(attempt.send.number, outcome, prompt, response))
 
     async def run(self, attempt: Attempt) -> None:
         """Send the request and read the response."""
--- a/vetchusher/node/edge_node.py
+++ b/vetchusher/node/edge_node.py
@@ -28,7 +28,8 @@
 from .configuration_parser import MAX_BYTES_ON_LOOP, ConfigurationParser
 from .context import NodeContext
 from .peer_network import Channel
-from .proxy import Proxy, Readiness
+from .proxy import Proxy
+from .readiness import Readiness
 from .subscriber_driver import SubscriberDriver
 
 TICK_S = 0.05
--- /dev/null
+++ b/vetchusher/node/proxied_request.py
@@ -0,0 +1,135 @@
+"""One client's request on its way: carries out its state machine's actions until a response is chosen."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Protocol
+
+from vetchusher.errors import Error, ErrorCode
+from vetchusher.events import LogEvent
+from vetchusher.net.links import Streamed
+from vetchusher.routing.actions import (
+    Action,
+    CancelAttempt,
+    ForwardResponse,
+    Reject,
+    SendAttempt,
+    WakeAt,
+)
+from vetchusher.routing.claims import AttemptOutcome
+from vetchusher.routing.request import Request
+
+from .attempts import Attempt, AttemptResult, RequestSpec, ServerAttempts, ServerResponse
+
+log = logging.getLogger("vetchusher")
+
+
+class RequestHost(Protocol):
+    """The proxy round a request."""
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """Event loop of the process."""
+        ...
+
+    @property
+    def attempts(self) -> ServerAttempts:
+        """Owner of the attempts in flight."""
+        ...
+
+    def now(self) -> int:
+        """Return the time, in microseconds of the steady clock."""
+
+    def log_event(self, event: LogEvent, /) -> None:
+        """Write one event to the log."""
+
+
+class ProxiedRequest:
+    """One request's attempts, until its response is chosen; `close` releases whatever is still held."""
+
+    def __init__(self, host: RequestHost, request: Request, spec: RequestSpec) -> None:
+        """Begin without an attempt."""
+        self.host = host
+        self.request = request
+        self.spec = spec
+        self.attempts: dict[int, Attempt] = {}
+        self.responses: dict[int, ServerResponse] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.answer: asyncio.Future[Error | ServerResponse] = host.loop.create_future()
+
+    def start(self) -> None:
+        """Start the first attempt."""
+        self.perform(self.request.start(self.host.now()))
+
+    def on_attempt_report(self, result: AttemptResult) -> None:
+        """Take how an attempt ended, or that its response has begun."""
+        now, response = self.host.now(), result.response
+        try:
+            if response is not None:
+                self.responses[result.number] = response
+            if response is not None and isinstance(response.body, Streamed):
+                actions = self.request.on_response_begun(now, result.number)
+            else:
+                actions = self.request.on_attempt_ended(
+                    now, result.number, result.outcome, result.reset_at_once
+                )
+            self.perform(actions)
+        except Exception:  # whatever fails here, the client is owed an answer
+            log.exception("a request's next step failed")
+            self.resolve(Error(ErrorCode.MAYBE_EXECUTED, "failed"))
+
+    def on_late(self) -> None:
+        """Take that the request is late: another attempt may be started beside the first."""
+        self.perform(self.request.on_late(self.host.now()))
+
+    def perform(self, actions: list[Action]) -> None:
+        """Carry out the actions of the request's state machine."""
+        for action in actions:
+            match action:
+                case SendAttempt():
+                    self.attempts[action.number] = self.host.attempts.start(
+                        action, self.spec, self.on_attempt_report
+                    )
+                case CancelAttempt():
+                    self.host.attempts.cancel(self.attempts[action.number])
+                case WakeAt():
+                    self.timer = self.host.loop.call_at(action.at / 1e6, self.on_late)
+                case ForwardResponse():
+                    self.resolve(self.responses.pop(action.number))
+                case Reject():
+                    self.resolve(action.error)
+        for event in self.request.events:
+            self.host.log_event(event)
+        self.request.events.clear()
+
+    def resolve(self, answer: Error | ServerResponse) -> None:
+        """Set the response, the first time; release a later one."""
+        if not self.answer.done():
+            self.answer.set_result(answer)
+        else:
+            release(answer)
+
+    def close(self, *, completed: bool) -> None:
+        """End the request: cancel what is open and release what was not sent.
+
+        :param completed: the response, if it was streamed, reached its end
+        """
+        now, request = self.host.now(), self.request
+        if self.timer is not None:
+            self.timer.cancel()
+        if (number := request.forwarded_attempt) is not None:
+            request.on_attempt_ended(
+                now, number, AttemptOutcome.ANSWERED if completed else AttemptOutcome.RESET
+            )
+        self.perform(request.on_client_left(now))
+        if self.answer.done() and not self.answer.cancelled():
+            release(self.answer.result())
+        for response in self.responses.values():
+            release(response)
+
+
+def release(answer: Error | ServerResponse) -> None:
+    """Close the stream of a response that is not sent."""
+    if isinstance(answer, ServerResponse) and isinstance(answer.body, Streamed):
+        answer.body.close()
