--- a/vetchusher/node/attempts.py
+++ b/vetchusher/node/attempts.py
@@ -207,6 +207,7 @@
         """
         self.loop = loop
         self.attempts: set[Attempt] = set()
+        self.on_outcome: Callable[[AttemptOutcome], None] | None = None  # set where metrics are on
         self.trust = TrustByService(MAX_IDLE_US / 1e6)
         hooks = Ways(
             own=response_belongs_to,
@@ -285,6 +286,8 @@
             attempt.task.cancel()
         soon = self.loop.time() - attempt.sent_at < IMMEDIATE_RESET_US / 1e6
         prompt = outcome is AttemptOutcome.RESET and soon and not attempt.response_began
+        if self.on_outcome is not None:
+            self.on_outcome(outcome)
         attempt.report(AttemptResult(attempt.send.number, outcome, prompt, response))
 
     async def run(self, attempt: Attempt) -> None:
--- a/vetchusher/node/proxy.py
+++ b/vetchusher/node/proxy.py
@@ -74,6 +74,13 @@
         ...
 
 
+class RequestObserver(Protocol):
+    """Whoever counts requests besides the log."""
+
+    def on_request_ended(self, now: int, outcome: str, admitted: Request | None) -> None:
+        """Take how a request ended; it was not admitted where `admitted` is None."""
+
+
 class Proxy:
     """The HTTP proxy of an ingress: it admits clients' requests and forwards them to servers.
 
@@ -106,6 +113,7 @@
         self.listener = Door(loop, server, int(places * CLIENTS_PART), Bounds())
         self.max_attempts = int(places * (1 - CLIENTS_PART))
         self.attempts = ServerAttempts(loop, self.max_attempts, self.selector.is_listed)
+        self.observer: RequestObserver | None = None  # set where metrics are on
         self.update_bounds()
 
     def now(self) -> int:
@@ -223,9 +231,9 @@
                     Error(ErrorCode.NO_SERVER_AVAILABLE, "no connection is free", BUSY_RETRY_AFTER_US),
                 )
             if request.body_exists and (error := await self.read_body(request, link, body, admitted)):
-                return self.reject(request, error)
+                return self.reject(request, error, admitted)
             if has_hung_up(link.wire):
-                return self.reject(request, Error(ErrorCode.NOT_EXECUTED, "its client has left"))
+                return self.reject(request, Error(ErrorCode.NOT_EXECUTED, "its client has left"), admitted)
             return await self.forward(request, link, admitted, body)
         finally:
             self.bodies.release(body)
@@ -242,8 +250,8 @@
             proxied.start()
             answer = await proxied.answer
             if isinstance(answer, Error):
-                return self.reject(request, answer)
-            self.outcome_counts[f"{answer.status // 100}xx"] += 1
+                return self.reject(request, answer, admitted)
+            self.count_outcome(f"{answer.status // 100}xx", admitted)
             if not isinstance(answer.body, Streamed):
                 return buffered_response(request, answer)
             out = streamed_response(answer)
@@ -261,7 +269,18 @@
         max_bytes = self.limits.body_bytes
         return await self.bodies.read(request, link, body, max_bytes=max_bytes, deadline=admitted.deadline)
 
-    def reject(self, request: web.BaseRequest, error: Error) -> web.StreamResponse:
+    def reject(
+        self, request: web.BaseRequest, error: Error, admitted: Request | None = None
+    ) -> web.StreamResponse:
         """Return a response of this ingress itself."""
-        self.outcome_counts[error.code.value] += 1
+        self.count_outcome(error.code.value, admitted)
         return rejection(request, error)
+
+    def count_outcome(self, outcome: str, admitted: Request | None) -> None:
+        """Count how a request ended.
+
+        :param admitted: None: it was rejected before its route was known
+        """
+        self.outcome_counts[outcome] += 1
+        if self.observer is not None:
+            self.observer.on_request_ended(self.now(), outcome, admitted)
