Metrics of both roles in the Prometheus text format, off unless asked for

Gauges are read from their owners when they are fetched. At most 200 routes are told apart. Off, neither the package nor prometheus-client is imported (test). A port that is taken costs the metrics, not the process (event 107).

--- a/vetchusher/events.py
+++ b/vetchusher/events.py
@@ -19,6 +19,7 @@
     SETTINGS_RELOADED = 104
     SETTINGS_REJECTED = 105
     OUTPUT_FAILED = 106  # an effect could not be carried out
+    METRICS_UNAVAILABLE = 107  # their port cannot be listened on
     VOTE_GRANTED = 201
     BECAME_PRIMARY = 202
     STEPPED_DOWN = 203
--- a/vetchusher/node/cli.py
+++ b/vetchusher/node/cli.py
@@ -39,13 +39,15 @@
 class Commands:
     """One process of the system on this machine."""
 
-    def run(self, config: str = "") -> DeferredCommand:
+    def run(self, config: str = "", metrics: str = "") -> DeferredCommand:
         """Run it in the foreground until SIGTERM; SIGHUP reads the settings again.
 
         Args:
             config: the settings file; without it the one that $VETCHUSHER_CONFIG names
+            metrics: PORT/PATH at this machine's address at which metrics are read, such as 9464/metrics
         """
-        return DeferredCommand(lambda: start(str(config) or os.environ.get(SETTINGS_VARIABLE, "")))
+        path = str(config) or os.environ.get(SETTINGS_VARIABLE, "")
+        return DeferredCommand(lambda: start(path, str(metrics)))
 
     def check(self, settings: str = "", configuration: str = "", data: str = "") -> DeferredCommand:
         """Say in a line what each file or folder holds, or what is wrong with it (code 2).
--- /dev/null
+++ b/vetchusher/node/metrics/edge_metrics.py
@@ -0,0 +1,155 @@
+"""Figures of an edge node: requests, attempts, servers, quotas, and how fresh its configuration is."""
+
+from __future__ import annotations
+
+from collections import Counter as Tally
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from vetchusher.routing.claims import AttemptOutcome
+from vetchusher.routing.request import Request
+
+if TYPE_CHECKING:
+    from vetchusher.node.edge_node import EdgeNode
+
+MAX_ROUTE_LABELS = 200  # routes that are told apart; the others share `OTHER_ROUTES`
+OTHER_ROUTES = "other"
+NO_ROUTE = ""  # of requests that were rejected before their route was known
+DURATION_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+NEVER_S = -1.0
+
+
+class RequestMetrics:
+    """Counters of requests and attempts; the proxy's observer."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the counters."""
+        self.routes: set[str] = set()
+        self.requests = Counter(
+            "vetchusher_requests",
+            "Requests of clients that were answered, by route, its type, and the answer's class or error.",
+            ["route", "route_type", "outcome"],
+            registry=registry,
+        )
+        self.durations = Histogram(
+            "vetchusher_request_duration_seconds",
+            "Time from a request's arrival to its answer, by type of route.",
+            ["route_type"],
+            buckets=DURATION_BUCKETS_S,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "vetchusher_attempts",
+            "Attempts at servers that ended, by outcome; those cancelled by the ingress are not counted.",
+            ["outcome"],
+            registry=registry,
+        )
+
+    def on_request_ended(self, now: int, outcome: str, admitted: Request | None) -> None:
+        """Count a request that was answered."""
+        if admitted is None:
+            self.requests.labels(NO_ROUTE, "", outcome).inc()
+            return
+        route_type = admitted.route.route_type.value
+        self.requests.labels(self.route_label(admitted.route.name), route_type, outcome).inc()
+        self.durations.labels(route_type).observe(max(0, now - admitted.head.arrived_at) / 1e6)
+
+    def on_attempt_ended(self, outcome: AttemptOutcome) -> None:
+        """Count an attempt that ended."""
+        self.attempts.labels(outcome.name.lower()).inc()
+
+    def route_label(self, name: str) -> str:
+        """Return the label of a route: its name, or one for all beyond the bound."""
+        if name not in self.routes:
+            if len(self.routes) >= MAX_ROUTE_LABELS:
+                return OTHER_ROUTES
+            self.routes.add(name)
+        return name
+
+
+class EdgeCollector(Collector):
+    """Reads gauges from an edge node as they are fetched."""
+
+    def __init__(self, node: EdgeNode) -> None:
+        """Begin to read that node."""
+        self.node = node
+
+    def collect(self) -> Iterator[Metric]:
+        """Return the gauges of this moment."""
+        node, now = self.node, self.node.now()
+        yield gauge("vetchusher_ready", "1 while this ingress is ready.", float(node.is_ready()))
+        yield gauge("vetchusher_configuration_version", "Version in use; 0: none yet.", node.version)
+        fresh_s = (node.proxy.context.fresh_until - now) / 1e6
+        yield gauge(
+            "vetchusher_configuration_fresh_seconds",
+            "For how long the configuration is known to be in force; below 0: since when it is not.",
+            max(NEVER_S, fresh_s),
+        )
+        yield gauge(
+            "vetchusher_client_connections", "Open connections of clients.", len(node.proxy.listener.links)
+        )
+        yield gauge("vetchusher_open_attempts", "Attempts in flight.", len(node.proxy.attempts.attempts))
+        yield gauge(
+            "vetchusher_body_bytes", "Bytes of request bodies that are held.", node.proxy.bodies.held_bytes
+        )
+        yield self.server_states(now)
+        yield self.shedding(now)
+        yield from self.quotas(now)
+
+    def server_states(self, now: int) -> Metric:
+        """Return how many servers are in which state."""
+        selector = self.node.proxy.selector
+        counts: Tally[tuple[str, str]] = Tally()
+        for state in selector.server_states.values():
+            counts[state.server.service, selector.state_name(now, state)] += 1
+        family = GaugeMetricFamily(
+            "vetchusher_servers", "Listed servers, by service and state.", labels=["service", "state"]
+        )
+        for labels, count in sorted(counts.items()):
+            family.add_metric(labels, count)
+        return family
+
+    def shedding(self, now: int) -> Metric:
+        """Return the highest probability with which less urgent requests of a service are rejected."""
+        family = GaugeMetricFamily(
+            "vetchusher_shedding_ratio",
+            "Share of the least urgent requests that is rejected to leave room for urgent ones.",
+            labels=["service"],
+        )
+        for service, levels in sorted(self.node.proxy.context.shedder.services.items()):
+            family.add_metric([service], max((one.pressure_now(now) for one in levels.values()), default=0.0))
+        return family
+
+    def quotas(self, now: int) -> Iterator[Metric]:
+        """Return what the local side of quotas decided, and how old the totals are that it goes by."""
+        quota = self.node.quota
+        decisions = GaugeMetricFamily(
+            "vetchusher_quota_decisions",
+            "Requests of tenants with a quota since the start, by decision.",
+            labels=["decision"],
+        )
+        decisions.add_metric(["admitted"], quota.admitted_count)
+        decisions.add_metric(["rejected_by_estimate"], quota.rejected_by_estimate)
+        decisions.add_metric(["rejected_by_limit"], quota.rejected_by_limit)
+        yield decisions
+        age_s = (now - quota.complete_totals_at) / 1e6 if quota.complete_totals_at > 0 else NEVER_S
+        yield gauge(
+            "vetchusher_quota_totals_age_seconds", "Age of the newest complete totals; -1: none yet.", age_s
+        )
+
+
+def gauge(name: str, text: str, value: float) -> Metric:
+    """Return a gauge without labels."""
+    return GaugeMetricFamily(name, text, value=value)
+
+
+def register_edge_metrics(registry: CollectorRegistry, node: EdgeNode) -> None:
+    """Register all figures of an edge node and count its requests from now on."""
+    requests = RequestMetrics(registry)
+    node.proxy.observer = requests
+    node.proxy.attempts.on_outcome = requests.on_attempt_ended
+    registry.register(EdgeCollector(node))
--- /dev/null
+++ b/vetchusher/node/metrics/exporter.py
@@ -0,0 +1,64 @@
+"""Puts the metrics of a process together: registry, collectors of its parts, probe and listener."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from vetchusher.events import Event, LogEvent
+from vetchusher.settings.node import NodeSettings
+
+from .address import MetricsAddress
+from .listener import MetricsListener
+from .process_metrics import ProcessMetrics
+
+
+class MetricsExporter:
+    """Owner of a process's metrics from `open` to `close`."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, settings: NodeSettings, address: MetricsAddress
+    ) -> None:
+        """Begin with the figures that every process has."""
+        self.settings = settings
+        self.address = address
+        self.process = ProcessMetrics(settings.node_name, settings.zone, settings.region)
+        self.listener = MetricsListener(loop, self.process.registry, address.path)
+        self.loop = loop
+        self.probe: asyncio.Task[None] | None = None
+
+    def counting(self, log_event: Callable[[LogEvent], None]) -> Callable[[LogEvent], None]:
+        """Return a function that counts an event and hands it on."""
+        return self.process.counting(log_event)
+
+    def register_parts(self, parts: Iterable[object]) -> None:
+        """Register the figures of a process's parts."""
+        from vetchusher.node.edge_node import EdgeNode
+
+        for part in parts:
+            if isinstance(part, EdgeNode):
+                from .edge_metrics import register_edge_metrics
+
+                register_edge_metrics(self.process.registry, part)
+            else:
+                from vetchusher.node.control_node import ControlNode
+
+                from .control_metrics import register_control_metrics
+
+                assert isinstance(part, ControlNode)
+                register_control_metrics(self.process.registry, part)
+
+    async def open(self, log_event: Callable[[LogEvent], None]) -> None:
+        """Listen; without the port the process goes on, and says so."""
+        self.probe = self.loop.create_task(self.process.probe_loop())
+        try:
+            await self.listener.open(self.settings.ip_address, self.address)
+        except OSError as error:
+            facts = {"port": self.address.port, "why": error.strerror or str(error)}
+            log_event(LogEvent(Event.METRICS_UNAVAILABLE, facts))
+
+    async def close(self) -> None:
+        """Stop the probe and close the listener."""
+        if self.probe is not None:
+            self.probe.cancel()
+        await self.listener.close()
--- a/vetchusher/node/process.py
+++ b/vetchusher/node/process.py
@@ -25,9 +25,11 @@
 from .log import log_event
 from .peer_network import Channel, PeerNetwork
 
-if TYPE_CHECKING:  # loaded only where the settings ask for a control node
+if TYPE_CHECKING:  # loaded only where the settings ask for a control node, or the command line for metrics
     from vetchusher.control import PersistentState, Store
     from vetchusher.distribution.snapshot import SnapshotStore
+    from vetchusher.node.metrics.address import MetricsAddress
+    from vetchusher.node.metrics.exporter import MetricsExporter
 
     from .control_node import ControlNode
 
@@ -83,11 +85,26 @@
 class Process:
     """One process: the parts that its settings ask for, the listeners of its HTTP API, and its network."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, settings: NodeSettings, settings_path: str) -> None:
-        """Prepare a process; `run` starts it."""
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: NodeSettings,
+        settings_path: str,
+        metrics: MetricsAddress | None = None,
+    ) -> None:
+        """Prepare a process; `run` starts it.
+
+        :param metrics: where metrics are read; None: they are off
+        """
         self.loop, self.settings, self.settings_path = loop, settings, settings_path
         self.rng = random.Random(int.from_bytes(os.urandom(8), "big"))
         self.log_event: Callable[[LogEvent], None] = log_event
+        self.exporter: MetricsExporter | None = None
+        if metrics is not None:
+            from vetchusher.node.metrics.exporter import MetricsExporter
+
+            self.exporter = MetricsExporter(loop, settings, metrics)
+            self.log_event = self.exporter.counting(log_event)
         address, port = settings.ip_address, settings.internal_ports[0]
         self.network = PeerNetwork(loop, address, settings.zone, port, self.on_frame, self.log_event)
         self.parts: list[Part] = []
@@ -115,6 +132,9 @@
         if "edge" in self.settings.serves:
             await self.start_edge()
         await self.network.open()
+        if self.exporter is not None:
+            self.exporter.register_parts(self.parts)
+            await self.exporter.open(self.log_event)
         return Success(None)
 
     async def start_edge(self) -> None:
@@ -223,6 +243,8 @@
             await listener.close()
         for task in tasks:
             task.cancel()
+        if self.exporter is not None:
+            await self.exporter.close()
         await self.network.close()
         self.log_event(LogEvent(Event.STOPPED))
 
@@ -256,11 +278,11 @@
                 self.log_event(LogEvent(Event.SETTINGS_REJECTED, {"why": fault.text}))
 
 
-def run(settings: NodeSettings, path: str) -> int:
+def run(settings: NodeSettings, path: str, metrics: MetricsAddress | None = None) -> int:
     """Run one process until it is asked to stop; return its exit code."""
 
     async def main() -> int:
-        return await Process(asyncio.get_running_loop(), settings, path).run()
+        return await Process(asyncio.get_running_loop(), settings, path, metrics).run()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(main())
--- a/vetchusher/node/start.py
+++ b/vetchusher/node/start.py
@@ -6,27 +6,42 @@
 import os
 import sys
 import threading
+from typing import TYPE_CHECKING
 
 from returns.result import Failure
 
 from vetchusher.settings.node import read_node
 
+if TYPE_CHECKING:  # loaded only where metrics are on
+    from vetchusher.node.metrics.address import MetricsAddress
+
 SETTINGS_VARIABLE = "VETCHUSHER_CONFIG"
 EXIT_UNUSABLE = 2
 
 
-def start(path: str) -> int:
-    """Run by a settings file until asked to stop; return the exit code."""
+def start(path: str, metrics: str = "") -> int:
+    """Run by a settings file until asked to stop; return the exit code.
+
+    :param metrics: `PORT/PATH` at which metrics are read; empty: they are off
+    """
     if not path:
         return report_unusable(f"no settings: give --config or set {SETTINGS_VARIABLE}")
     settings = read_node(path)
     if isinstance(settings, Failure):
         return report_unusable(settings.failure().text)
+    address: MetricsAddress | None = None
+    if metrics:
+        from vetchusher.node.metrics.address import parse_address
+
+        parsed = parse_address(metrics)
+        if isinstance(parsed, Failure):
+            return report_unusable(parsed.failure().text)
+        address = parsed.unwrap()
     from .log import start_logging
     from .process import run
 
     start_logging()
-    return exit_with(run(settings.unwrap(), path))
+    return exit_with(run(settings.unwrap(), path, address))
 
 
 def exit_with(code: int) -> int:
--- a/vetchusher/routing/server_selection.py
+++ b/vetchusher/routing/server_selection.py
@@ -263,6 +263,19 @@
             and state.server.instance not in exclude
         )
 
+    def state_name(self, now: int, state: ServerState) -> str:
+        """Return what keeps requests from a server now, for operators; `usable`: nothing does."""
+        server = state.server
+        if server.draining:
+            return "draining"
+        if server.zone in self.evacuated_zones:
+            return "evacuated"
+        if state.is_misdirected:
+            return "misdirected"
+        if now < state.ejected_until:
+            return "ejected"
+        return "cold" if self._is_cold(now, state) else "usable"
+
     def _is_cold(self, now: int, state: ServerState) -> bool:
         server = state.server
         if now < server.cold_until:
