--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -70,7 +70,8 @@
     def test_requests_and_attempts_by_route_and_outcome(self):
         async def play():
             registry = CollectorRegistry()
-            metrics = RequestMetrics(registry)
+            metrics = RequestMetrics()
+            registry.register(metrics)
             one = StandIn("i-1", "svc", "gulf-a")
             async with ingress(one) as (front, port):
                 front.observer = metrics
@@ -89,7 +90,7 @@
         self.assertIn("route", outcome)
 
     def test_routes_beyond_the_bound_share_a_label(self):
-        metrics = RequestMetrics(CollectorRegistry())
+        metrics = RequestMetrics()
         labels = {metrics.route_label(f"r-{number}") for number in range(3 * MAX_ROUTE_LABELS)}
         self.assertEqual(MAX_ROUTE_LABELS + 1, len(labels))
         self.assertIn(OTHER_ROUTES, labels)
--- a/vetchusher/node/metrics/edge_metrics.py
+++ b/vetchusher/node/metrics/edge_metrics.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter as Tally
 from collections.abc import Iterator
+from itertools import accumulate
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
-from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
 from prometheus_client.registry import Collector
 
 from vetchusher.routing.claims import AttemptOutcome
@@ -23,44 +25,71 @@
 NEVER_S = -1.0
 
 
-class RequestMetrics:
-    """Counters of requests and attempts; the proxy's observer."""
+class RequestMetrics(Collector):
+    """Counts requests and attempts; the proxy's observer.
 
-    def __init__(self, registry: CollectorRegistry) -> None:
-        """Register the counters."""
+    On the way of a request it only counts in dictionaries; metrics are made of them when they are fetched.
+    """
+
+    def __init__(self) -> None:
+        """Begin at zero."""
         self.routes: set[str] = set()
-        self.requests = Counter(
-            "vetchusher_requests",
-            "Requests of clients that were answered, by route, its type, and the answer's class or error.",
-            ["route", "route_type", "outcome"],
-            registry=registry,
-        )
-        self.durations = Histogram(
-            "vetchusher_request_duration_seconds",
-            "Time from a request's arrival to its answer, by type of route.",
-            ["route_type"],
-            buckets=DURATION_BUCKETS_S,
-            registry=registry,
-        )
-        self.attempts = Counter(
-            "vetchusher_attempts",
-            "Attempts at servers that ended, by outcome; those cancelled by the ingress are not counted.",
-            ["outcome"],
-            registry=registry,
-        )
+        self.requests: Tally[tuple[str, str, str]] = Tally()  # by route, its type and outcome
+        self.attempts: Tally[AttemptOutcome] = Tally()
+        self.durations: dict[str, list[int]] = {}  # requests by type of route and bucket
+        self.duration_sums_s: dict[str, float] = {}
 
     def on_request_ended(self, now: int, outcome: str, admitted: Request | None) -> None:
         """Count a request that was answered."""
         if admitted is None:
-            self.requests.labels(NO_ROUTE, "", outcome).inc()
+            self.requests[NO_ROUTE, "", outcome] += 1
             return
         route_type = admitted.route.route_type.value
-        self.requests.labels(self.route_label(admitted.route.name), route_type, outcome).inc()
-        self.durations.labels(route_type).observe(max(0, now - admitted.head.arrived_at) / 1e6)
+        self.requests[self.route_label(admitted.route.name), route_type, outcome] += 1
+        took_s = max(0, now - admitted.head.arrived_at) / 1e6
+        buckets = self.durations.get(route_type)
+        if buckets is None:
+            buckets = self.durations[route_type] = [0] * (len(DURATION_BUCKETS_S) + 1)
+            self.duration_sums_s[route_type] = 0.0
+        buckets[bisect_left(DURATION_BUCKETS_S, took_s)] += 1
+        self.duration_sums_s[route_type] += took_s
 
     def on_attempt_ended(self, outcome: AttemptOutcome) -> None:
         """Count an attempt that ended."""
-        self.attempts.labels(outcome.name.lower()).inc()
+        self.attempts[outcome] += 1
+
+    def collect(self) -> Iterator[Metric]:
+        """Return the counters of this moment."""
+        requests = CounterMetricFamily(
+            "vetchusher_requests",
+            "Requests of clients that were answered, by route, its type, and the answer's class or error.",
+            labels=["route", "route_type", "outcome"],
+        )
+        for labels, count in sorted(self.requests.items()):
+            requests.add_metric(labels, count)
+        yield requests
+        attempts = CounterMetricFamily(
+            "vetchusher_attempts",
+            "Attempts at servers that ended, by outcome; those cancelled by the ingress are not counted.",
+            labels=["outcome"],
+        )
+        for outcome, count in sorted(self.attempts.items(), key=lambda item: item[0].name):
+            attempts.add_metric([outcome.name.lower()], count)
+        yield attempts
+        yield self.duration_histogram()
+
+    def duration_histogram(self) -> Metric:
+        """Return the times from requests' arrival to their answers."""
+        family = HistogramMetricFamily(
+            "vetchusher_request_duration_seconds",
+            "Time from a request's arrival to its answer, by type of route.",
+            labels=["route_type"],
+        )
+        bounds = [*(f"{bound:g}" for bound in DURATION_BUCKETS_S), "+Inf"]
+        for route_type, counts in sorted(self.durations.items()):
+            buckets = list(zip(bounds, map(float, accumulate(counts)), strict=True))
+            family.add_metric([route_type], buckets, self.duration_sums_s[route_type])
+        return family
 
     def route_label(self, name: str) -> str:
         """Return the label of a route: its name, or one for all beyond the bound."""
@@ -149,7 +178,8 @@
 
 def register_edge_metrics(registry: CollectorRegistry, node: EdgeNode) -> None:
     """Register all figures of an edge node and count its requests from now on."""
-    requests = RequestMetrics(registry)
+    requests = RequestMetrics()
+    registry.register(requests)
     node.proxy.observer = requests
     node.proxy.attempts.on_outcome = requests.on_attempt_ended
     registry.register(EdgeCollector(node))
--- a/vetchusher/node/metrics/process_metrics.py
+++ b/vetchusher/node/metrics/process_metrics.py
@@ -9,7 +9,8 @@
 
 from vetchusher.events import LogEvent
 
-PROBE_INTERVAL_S = 0.25
+PROBE_INTERVAL_S = 0.5
+PROBES = 10  # whose longest lag is told: those since the last fetch but one, at a fetch each 5 s
 
 
 class ProcessMetrics:
@@ -26,7 +27,7 @@
         )
         self.loop_lag = Gauge(
             "vetchusher_loop_lag_seconds",
-            f"Longest delay of a timer of the event loop in the last {PROBE_INTERVAL_S * 4:g} s.",
+            f"Longest delay of a timer of the event loop in the last {PROBE_INTERVAL_S * PROBES:g} s.",
             registry=self.registry,
         )
         info = Gauge(
@@ -49,7 +50,7 @@
     async def probe_loop(self) -> None:
         """Measure how late timers run, until cancelled."""
         loop = asyncio.get_running_loop()
-        lags = [0.0] * 4
+        lags = [0.0] * PROBES
         while True:
             due = loop.time() + PROBE_INTERVAL_S
             await asyncio.sleep(PROBE_INTERVAL_S)
