Quotas hold after all machines lost power: what nobody remembers counts as admitted

Cause: an ingress that starts admits its first allowance, and a new coordinator begins with a full store less what ingresses report. After all have lost power, also those that do not count, nobody reports what was admitted a moment before: a tenant that presses on both sides of the dark got up to 1.7 times its limit (12 a second, burst 150: 379 of 226 in 5 s; burst 12 and 0.1 s of dark: 87 of 81; 3 and 9 ingresses).

A restarted ingress now begins at nothing and earns its part of the rate until a first total; a coordinator of any epoch but the first takes store and advance off for each ingress that had heard no coordinator before, or says nothing, less what the store has gained since its epoch began. Ruled out: waiting out a window (5 s without service for all).

--- a/vetchusher/quota/coordinator.py
+++ b/vetchusher/quota/coordinator.py
@@ -42,6 +42,7 @@
 )  # of what it passed lately, and requests: all that an ingress is given
 REJECTED_WEIGHT = 0.5  # requests that a refused one counts for, in the shares
 MIN_EXHAUSTED_US = 250_000  # us for which a tenant stays tight at least: by then each has asked
+FIRST_EPOCH = 1  # of the whole system: nothing was admitted before
 MAX_INCARNATIONS = 4  # of one ingress that are remembered
 
 
@@ -160,9 +161,8 @@
             if all_known or now - self.began_at >= COMPLETE_AFTER_US:
                 self.is_complete = True
                 for quota in self.tenants.values():
-                    # Safety: what the unheard passed before is not known either.
                     self.refill(now, quota)
-                    quota.available -= quota.shape.depth * unheard / self.ingresses
+                    self.deduct_forgotten(now, quota, unheard)
                     # Safety: two windows do not tell all that was given out ahead.
                     remaining = max(quota.reported_deficit, -quota.shape.advance) + quota.shape.gained(
                         now - quota.reported_deficit_at
@@ -171,6 +171,26 @@
                         min(quota.available, remaining) if quota.reported_deficit < 0.0 else quota.available
                     )
 
+    def deduct_forgotten(self, now: int, quota: TenantQuota, unheard: int) -> None:
+        """Take off what may have been admitted before this epoch and is remembered by nobody.
+
+        Safety: after all ingresses lost power the store and all that may be given out in advance may have
+        been used a moment before.  What the store has gained since this epoch began is left to it.
+
+        :param unheard: ingresses that may be serving and have reported nothing
+        """
+        if self.epoch == FIRST_EPOCH:
+            return
+        forgotten = unheard + sum(
+            incarnations[-1].has_no_past
+            for node, incarnations in self.peers.items()
+            if node in self.serving_nodes
+        )
+        ratio = min(1.0, forgotten / self.ingresses)
+        gained = quota.shape.gained(now - self.began_at)
+        lost = quota.shape.depth + quota.shape.advance - gained
+        quota.available -= ratio * max(0.0, lost)
+
     def refill(self, now: int, quota: TenantQuota) -> None:
         """Bring a quota up to date: its store, and limits that have expired."""
         speaking = 1.0 - self.silent_peers / self.ingresses
@@ -256,7 +276,7 @@
         incarnations = self.peers[push.node]
         peer = next((s for s in incarnations if s.incarnation == push.life), None)
         if peer is None:
-            peer = ReportingPeer(push.node, push.life, now)
+            peer = ReportingPeer(push.node, push.life, now, has_no_past=push.holder == 0)
             incarnations.append(peer)
             if len(incarnations) > MAX_INCARNATIONS:
                 self.forget_peer(now, incarnations.pop(0))
--- a/vetchusher/quota/local_quota.py
+++ b/vetchusher/quota/local_quota.py
@@ -88,12 +88,20 @@
     """Owner of one `TenantUsage` for each tenant with a quota in the configuration."""
 
     def __init__(
-        self, node: str, incarnation: int, sync_us: int = 150_000, bounds: QuotaBounds | None = None
+        self,
+        node: str,
+        incarnation: int,
+        sync_us: int = 150_000,
+        bounds: QuotaBounds | None = None,
+        *,
+        is_restarted: bool = False,
     ) -> None:
         """Begin without tenants.
 
         :param sync_us: between two pushes
+        :param is_restarted: the system has run before, and this ingress may have admitted requests then
         """
+        self.is_restarted = is_restarted
         self.node = node
         self.incarnation = incarnation
         self.sync_us = sync_us
@@ -166,12 +174,14 @@
                 self.grant_first_allowance(now, usage)
 
     def grant_first_allowance(self, now: int, usage: TenantUsage) -> None:
-        """Allow a few requests before any total."""
+        """Allow a few requests before any total; after a restart only this ingress's part of the rate.
+
+        Safety: after all machines lost power nobody remembers what was admitted a moment before.  So the
+        limit then grows from nothing (`refresh_limit`), as a store that was just emptied would.
+        """
         if self.counted_since != NEVER and self.answered_at == NEVER and usage.grant_expires_at <= now:
-            usage.limit, usage.share_grown_at = (
-                usage.count + first_allowance(usage.shape, self.ingresses),
-                now,
-            )
+            allowance = 0.0 if self.is_restarted else first_allowance(usage.shape, self.ingresses)
+            usage.limit, usage.share_grown_at = usage.count + allowance, now
 
     def admit(self, now: int, tenant: str) -> bool:
         """Return whether one more request of a tenant is admitted; if so it is counted."""
