Quotas after darkness: what the store has gained since the processes began is left to it

An ingress without a coordinator now tells its age with its pushes, and earns its part of the rate from its own start.

--- a/tests/test_quota_after_darkness.py
+++ b/tests/test_quota_after_darkness.py
@@ -66,14 +66,14 @@
 
 
 class Ingress(testtools.TestCase):
-    def admitted(self, is_restarted: bool, at: int) -> int:
-        quota = LocalQuota("e1", 1, is_restarted=is_restarted)
+    def admitted(self, restarted_at: int | None, at: int) -> int:
+        quota = LocalQuota("e1", 1, restarted_at=restarted_at)
         tenant = Tenant("t", ("k",), None, 10.0, 30.0, frozenset())
         quota.configure(0, {"t": tenant})
         quota.set_ingresses(0, 2, True)
         return sum(quota.admit(at, "t") for _ in range(50))
 
     def test_after_a_restart_its_part_of_the_rate_is_all(self) -> None:
-        self.assertEqual(0, self.admitted(is_restarted=True, at=0))
-        self.assertEqual(5, self.admitted(is_restarted=True, at=SECOND))
-        self.assertTrue(self.admitted(is_restarted=False, at=0) > 2)
+        self.assertEqual(0, self.admitted(restarted_at=0, at=0))
+        self.assertEqual(5, self.admitted(restarted_at=0, at=SECOND))
+        self.assertTrue(self.admitted(restarted_at=None, at=0) > 2)
--- a/vetchusher/node/edge_node.py
+++ b/vetchusher/node/edge_node.py
@@ -62,9 +62,8 @@
         self.subscriber_driver = SubscriberDriver(network, self.subscriber, self)
         bounds = settings.bounds
         quota = QuotaBounds(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
-        self.quota = LocalQuota(
-            settings.node_name, self.incarnation, bounds=quota, is_restarted=not settings.first_start
-        )
+        restarted_at = None if settings.first_start else context.now()
+        self.quota = LocalQuota(settings.node_name, self.incarnation, bounds=quota, restarted_at=restarted_at)
         self.retry_budget = RetryBudget(
             bounds.retry_budget_ratio, int(bounds.budget_slack), bounds.budget_window_s
         )
--- a/vetchusher/quota/coordinator.py
+++ b/vetchusher/quota/coordinator.py
@@ -175,21 +175,21 @@
         """Take off what may have been admitted before this epoch and is remembered by nobody.
 
         Safety: after all ingresses lost power the store and all that may be given out in advance may have
-        been used a moment before.  What the store has gained since this epoch began is left to it.
+        been used a moment before the last of them began.  What the store has gained since is left to it, and
+        what was admitted before the rule's window does not matter.
 
         :param unheard: ingresses that may be serving and have reported nothing
         """
         if self.epoch == FIRST_EPOCH:
             return
-        forgotten = unheard + sum(
-            incarnations[-1].has_no_past
-            for node, incarnations in self.peers.items()
-            if node in self.serving_nodes
-        )
-        ratio = min(1.0, forgotten / self.ingresses)
-        gained = quota.shape.gained(now - self.began_at)
-        lost = quota.shape.depth + quota.shape.advance - gained
-        quota.available -= ratio * max(0.0, lost)
+        newest = [lives[-1] for node, lives in self.peers.items() if node in self.serving_nodes]
+        began_at = [peer.began_at for peer in newest if peer.began_at != NEVER]
+        began_at += [self.began_at] * unheard
+        quiet_us = now - max(began_at, default=NEVER)
+        if quiet_us >= self.bounds.window_s * 1e6:
+            return
+        lost = quota.shape.depth + quota.shape.advance - quota.shape.gained(quiet_us)
+        quota.available -= max(0.0, lost) * min(1.0, len(began_at) / self.ingresses)
 
     def refill(self, now: int, quota: TenantQuota) -> None:
         """Bring a quota up to date: its store, and limits that have expired."""
@@ -276,7 +276,8 @@
         incarnations = self.peers[push.node]
         peer = next((s for s in incarnations if s.incarnation == push.life), None)
         if peer is None:
-            peer = ReportingPeer(push.node, push.life, now, has_no_past=push.holder == 0)
+            began_at = NEVER if push.holder else now - push.at_us
+            peer = ReportingPeer(push.node, push.life, now, began_at)
             incarnations.append(peer)
             if len(incarnations) > MAX_INCARNATIONS:
                 self.forget_peer(now, incarnations.pop(0))
--- a/vetchusher/quota/local_quota.py
+++ b/vetchusher/quota/local_quota.py
@@ -94,14 +94,15 @@
         sync_us: int = 150_000,
         bounds: QuotaBounds | None = None,
         *,
-        is_restarted: bool = False,
+        restarted_at: int | None = None,
     ) -> None:
         """Begin without tenants.
 
         :param sync_us: between two pushes
-        :param is_restarted: the system has run before, and this ingress may have admitted requests then
+        :param restarted_at: us, when this process began; the one before it may have admitted requests up to
+            then.  None: the system has never run before
         """
-        self.is_restarted = is_restarted
+        self.restarted_at = restarted_at
         self.node = node
         self.incarnation = incarnation
         self.sync_us = sync_us
@@ -177,12 +178,25 @@
         """Allow a few requests before any total; after a restart only this ingress's part of the rate.
 
         Safety: after all machines lost power nobody remembers what was admitted a moment before.  So the
-        limit then grows from nothing (`refresh_limit`), as a store that was just emptied would.
+        limit then grows from nothing (`refresh_limit`), as a store that was emptied when this process began.
         """
         if self.counted_since != NEVER and self.answered_at == NEVER and usage.grant_expires_at <= now:
-            allowance = 0.0 if self.is_restarted else first_allowance(usage.shape, self.ingresses)
+            allowance = first_allowance(usage.shape, self.ingresses)
+            if self.restarted_at is not None:
+                allowance = usage.shape.gained(now - self.restarted_at) / max(1, self.ingresses)
+                allowance = min(allowance, disconnected_share(usage.shape, self.ingresses))
             usage.limit, usage.share_grown_at = usage.count + allowance, now
 
+    def push_time_us(self, at: int, now: int) -> int:
+        """Return the time that a push states.
+
+        :param at: us on the coordinator's clock, as far as it is known
+        :returns: that, or the age of this process (us) while it knows no coordinator
+        """
+        if not self.coordinator_epoch:
+            return now - self.restarted_at if self.restarted_at is not None else 0
+        return max(0, at) if self.coordinator_clock.incarnation == self.coordinator_epoch else 0
+
     def admit(self, now: int, tenant: str) -> bool:
         """Return whether one more request of a tenant is admitted; if so it is counted."""
         usage = self.tenants.get(tenant)
@@ -288,7 +302,7 @@
             number=self.last_push_number,
             passed=admitted,
             holder=self.coordinator_epoch,
-            at_us=max(0, at) if self.coordinator_clock.incarnation == self.coordinator_epoch else 0,
+            at_us=self.push_time_us(at, now),
             heard=self.last_answered_number,
         )
 
--- a/vetchusher/quota/tenant_quota.py
+++ b/vetchusher/quota/tenant_quota.py
@@ -63,8 +63,8 @@
 class ReportingPeer:
     """One incarnation of an ingress.
 
-    :param has_no_past: it had heard no coordinator before this one: what ran on its machine before it may
-        have admitted requests that nobody remembers
+    :param began_at: when it began, where it had heard no coordinator before this one: what ran on its machine
+        before it may have admitted requests that nobody remembers.  NEVER: an earlier coordinator knew it
     :param knows_coordinator: it has answered this coordinator: its first counts are all here
     :param reserved_silence_us: of silence for which its share of the rates was held back
     :param unconfirmed_tenants: tenants with more than one limit that may be in force
@@ -73,7 +73,7 @@
     node: str
     incarnation: int
     last_contact_at: int
-    has_no_past: bool = False
+    began_at: int = NEVER
     knows_coordinator: bool = False  # it knows this holder: its first counts are all here
     reserved_silence_us: float = 0.0  # us of silence for which its part of the rates was kept back
     grants: dict[str, QuotaGrant] = field(default_factory=dict)
