--- a/vetchusher/quota/coordinator.py
+++ b/vetchusher/quota/coordinator.py
@@ -175,8 +175,8 @@
         """Take off what may have been admitted before this epoch and is remembered by nobody.
 
         Safety: after all ingresses lost power the store and all that may be given out in advance may have
-        been used a moment before the last of them began.  What the store has gained since is left to it, and
-        what was admitted before the rule's window does not matter.
+        been used a moment before they began, by each its part.  What the store has gained since is left to
+        it, and what was admitted before the rule's window does not matter.
 
         :param unheard: ingresses that may be serving and have reported nothing
         """
@@ -185,11 +185,10 @@
         newest = [lives[-1] for node, lives in self.peers.items() if node in self.serving_nodes]
         began_at = [peer.began_at for peer in newest if peer.began_at != NEVER]
         began_at += [self.began_at] * unheard
-        quiet_us = now - max(began_at, default=NEVER)
-        if quiet_us >= self.bounds.window_s * 1e6:
-            return
-        lost = quota.shape.depth + quota.shape.advance - quota.shape.gained(quiet_us)
-        quota.available -= max(0.0, lost) * min(1.0, len(began_at) / self.ingresses)
+        for at in began_at:
+            if now - at < self.bounds.window_s * 1e6:
+                lost = quota.shape.depth + quota.shape.advance - quota.shape.gained(now - at)
+                quota.available -= max(0.0, lost) / self.ingresses
 
     def refill(self, now: int, quota: TenantQuota) -> None:
         """Bring a quota up to date: its store, and limits that have expired."""
