--- a/vetchusher/node/context.py
+++ b/vetchusher/node/context.py
@@ -19,6 +19,7 @@
 
     :param settings: replaced when the settings file changes
     :param now: microseconds of the steady clock
+    :param process_began_at: us; this process did nothing for anybody before; 0: as its parts are made
     """
 
     loop: asyncio.AbstractEventLoop
@@ -27,6 +28,7 @@
     rng: random.Random
     now: Callable[[], int]
     log_event: Callable[[LogEvent], None]
+    process_began_at: int = 0
 
     @property
     def own_ip(self) -> str:
--- a/vetchusher/node/edge_node.py
+++ b/vetchusher/node/edge_node.py
@@ -62,7 +62,7 @@
         self.subscriber_driver = SubscriberDriver(network, self.subscriber, self)
         bounds = settings.bounds
         quota = QuotaBounds(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
-        restarted_at = None if settings.first_start else context.now()
+        restarted_at = None if settings.first_start else context.process_began_at or context.now()
         self.quota = LocalQuota(settings.node_name, self.incarnation, bounds=quota, restarted_at=restarted_at)
         self.retry_budget = RetryBudget(
             bounds.retry_budget_ratio, int(bounds.budget_slack), bounds.budget_window_s
--- a/vetchusher/node/process.py
+++ b/vetchusher/node/process.py
@@ -40,6 +40,7 @@
 MAX_CONFIGURATION_BYTES = 16 << 20
 # Of the memory, for configurations: of the worst form, parsing one takes 36 times its length.
 MEMORY_FRACTION = 64
+MAX_START_UP_US = 300_000  # of processor time that counts as time since the process began
 TEARDOWN_S = 0.4  # of the grace, for closing everything
 
 
@@ -77,6 +78,11 @@
     return time.monotonic_ns() // 1000
 
 
+def start_up_us() -> int:
+    """Return for how long (us) this process has run at least: its processor time, within a bound."""
+    return min(MAX_START_UP_US, time.process_time_ns() // 1000)
+
+
 def max_configuration_bytes(settings: NodeSettings) -> int:
     """Return how long a configuration may be, and all that are received at one time together."""
     return min(MAX_CONFIGURATION_BYTES, settings.limits.memory_mb * (1 << 20) // MEMORY_FRACTION)
@@ -97,6 +103,7 @@
         :param metrics: where metrics are read; None: they are off
         """
         self.loop, self.settings, self.settings_path = loop, settings, settings_path
+        self.began_at = steady_us() - start_up_us()
         self.rng = random.Random(int.from_bytes(os.urandom(8), "big"))
         self.log_event: Callable[[LogEvent], None] = log_event
         self.exporter: MetricsExporter | None = None
@@ -119,7 +126,15 @@
 
     def context(self) -> NodeContext:
         """Return what each part is given."""
-        return NodeContext(self.loop, self.settings, self.network, self.rng, steady_us, self.log_event)
+        return NodeContext(
+            self.loop,
+            self.settings,
+            self.network,
+            self.rng,
+            steady_us,
+            self.log_event,
+            self.began_at,
+        )
 
     # -- start -----------------------------------------------------------------------------------
 
--- a/vetchusher/quota/coordinator.py
+++ b/vetchusher/quota/coordinator.py
@@ -24,6 +24,7 @@
     NEVER,
     QuotaBounds,
     first_allowance,
+    forgotten_use,
     is_low_quota,
     quota_shape,
     reserved_requests,
@@ -187,8 +188,7 @@
         began_at += [self.began_at] * unheard
         for at in began_at:
             if now - at < self.bounds.window_s * 1e6:
-                lost = quota.shape.depth + quota.shape.advance - quota.shape.gained(now - at)
-                quota.available -= max(0.0, lost) / self.ingresses
+                quota.available -= forgotten_use(quota.shape, now - at) / self.ingresses
 
     def refill(self, now: int, quota: TenantQuota) -> None:
         """Bring a quota up to date: its store, and limits that have expired."""
--- a/vetchusher/quota/local_quota.py
+++ b/vetchusher/quota/local_quota.py
@@ -28,6 +28,7 @@
     first_allowance,
     is_low_quota,
     quota_shape,
+    restarted_allowance,
 )
 
 GRANT_TTL_US = 800_000  # us from sending a push for which its answer's grants hold
@@ -183,8 +184,7 @@
         if self.counted_since != NEVER and self.answered_at == NEVER and usage.grant_expires_at <= now:
             allowance = first_allowance(usage.shape, self.ingresses)
             if self.restarted_at is not None:
-                allowance = usage.shape.gained(now - self.restarted_at) / max(1, self.ingresses)
-                allowance = min(allowance, disconnected_share(usage.shape, self.ingresses))
+                allowance = restarted_allowance(usage.shape, now - self.restarted_at, self.ingresses)
             usage.limit, usage.share_grown_at = usage.count + allowance, now
 
     def push_time_us(self, at: int, now: int) -> int:
--- a/vetchusher/quota/windows.py
+++ b/vetchusher/quota/windows.py
@@ -98,6 +98,28 @@
 LOOSE_FIRST_REQUESTS = 3.0  # requests each, then
 
 
+FORGOTTEN_CREDIT_RATIO = (
+    0.2  # of what is given out ahead, out of the quarter for late news: none is late then
+)
+
+
+def forgotten_use(shape: QuotaShape, age_us: int) -> float:
+    """Return what may be missing of a store whose ingresses began so long ago and remember nothing.
+
+    All that is stored or given out ahead may have been used a moment before; what was gained since is there.
+    """
+    most = shape.depth + (1.0 - FORGOTTEN_CREDIT_RATIO) * shape.advance
+    return max(0.0, most - shape.gained(age_us))
+
+
+def restarted_allowance(shape: QuotaShape, age_us: int, ingresses: int) -> float:
+    """Return what an ingress that began so long ago may admit before any total: its part of what the store has
+    gained since, and no more than one that is cut off.
+    """
+    gained = shape.gained(age_us) + FORGOTTEN_CREDIT_RATIO * shape.advance
+    return min(gained / max(1, ingresses), disconnected_share(shape, ingresses))
+
+
 def disconnected_share(shape: QuotaShape, ingresses: int) -> float:
     """Return what an ingress that is cut off may admit, however many are: all such shares fit together."""
     return RESERVED_RATIO * (shape.depth + shape.advance) / max(1, ingresses)
