--- a/vetchusher/quota/windows.py
+++ b/vetchusher/quota/windows.py
@@ -113,8 +113,9 @@
 
 
 def restarted_allowance(shape: QuotaShape, age_us: int, ingresses: int) -> float:
-    """Return what an ingress that began so long ago may admit before any total: its part of what the store has
-    gained since, and no more than one that is cut off.
+    """Return what an ingress that began so long ago may admit before any total.
+
+    Its part of what the store has gained since, and no more than one that is cut off.
     """
     gained = shape.gained(age_us) + FORGOTTEN_CREDIT_RATIO * shape.advance
     return min(gained / max(1, ingresses), disconnected_share(shape, ingresses))
