Test regained leases in two scenes whose first epoch is the system's first

In the one scene before (seed 1) the first election takes two epochs, so the coordinator's store now begins without what nobody remembers, and a second coordinator beside it breaks no bound any more: the planted fault was not seen. Seeds 2 and 3 see it, and are clean without it.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -576,12 +576,12 @@
         known = world.machines["e1"].part.servers.values()
         self.assertNotIn("10.9.0.5:80", [server.address for _, server in known])
 
-    def pressed(self):
+    def pressed(self, seed):
         """
         primary   ........ loses its lease . regains it, of the same epoch
         tenant    presses with 15 times its quota all the while
         """
-        world = World(Scene(seed=1, hot=0.9, rate=200.0))
+        world = World(Scene(seed=seed, hot=0.9, rate=200.0))
         world.warm_up()
         world.run(world.clock.at + SECOND)
         world.machines[world.primary()].part.leader_roles.stop()
@@ -589,9 +589,10 @@
         return world.wrong()
 
     def test_totals_are_held_on_where_a_lease_is_regained(self):
-        self.assertEqual([], self.pressed())
-        with planted("totals begin anew with a regained lease"):
-            self.assertIn(" QUOTA: ", " ".join(self.pressed()))
+        for seed in (2, 3):
+            self.assertEqual([], self.pressed(seed))
+            with planted("totals begin anew with a regained lease"):
+                self.assertIn(" QUOTA: ", " ".join(self.pressed(seed)))
 
 
 class Evacuations(TestCase):
