--- a/vetchusher/emulator/control/search.py
+++ b/vetchusher/emulator/control/search.py
@@ -236,13 +236,14 @@
         """The successor starts first; then the machine ends in order and stays away."""
         successor = self.succeeded(ip)
         pause = self.rng.choice((SECOND, self.rng.randrange(8 * SECOND)))
-        self.world.after(pause, partial(self.retired, ip, self.fresh_until[successor]))
+        self.world.after(pause, partial(self.retired, ip, successor))
 
-    def retired(self, ip: str, counts_until: int) -> None:
+    def retired(self, ip: str, successor: str) -> None:
         """It counts as lost until its successor has caught up: it waits while that is one too many."""
+        counts_until = self.fresh_until[successor]  # later where halves kept it from catching up
         counts = counts_until > self.world.at
         if counts and len(self.lost() - {ip}) >= self.search.tolerated:
-            self.world.after(WATCH, partial(self.retired, ip, counts_until))
+            self.world.after(WATCH, partial(self.retired, ip, successor))
             return
         self.lost_until[ip] = max(counts_until, self.lost_until.get(ip, 0))
         self.world.retire_for_good(ip)
