--- a/vetchusher/node/attempts.py
+++ b/vetchusher/node/attempts.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable, Collection
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -146,8 +147,15 @@
         """Note that a part of the response has arrived."""
         self.response_began = True
 
-    def was_closed_in_order(self) -> bool:
-        """Return whether the server closed the connection, rather than that it was reset or given up."""
+    def came_whole(self, response: aiohttp.ClientResponse) -> bool:
+        """Return whether a response whose body was read to its end is complete.
+
+        Safety: one with neither length nor chunks ends with its connection.  It is complete only if the
+        server closed that in order, and the parser takes a reset for its end too.
+        """
+        chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+        if response.content_length is not None or chunked:
+            return True
         return self.link is not None and self.link.ended
 
 
@@ -345,10 +353,13 @@
             return outcome, None
         forwarded_headers = response_headers(headers.items())
         result = ServerResponse(
-            response.status, response.reason or "", forwarded_headers, body, response.content_length
+            response.status,
+            response.reason or "",
+            forwarded_headers,
+            body,
+            response.content_length,
+            partial(attempt.came_whole, response),
         )
-        if ends_with_connection(response):
-            result.is_complete = attempt.was_closed_in_order
         return outcome, result
 
     async def close(self) -> None:
@@ -389,20 +400,11 @@
         parts.append(part)
         if sum(map(len, parts)) > MOST_BODY:
             return Streamed(response, 0.0, b"".join(parts))
-    if ends_with_connection(response) and not attempt.was_closed_in_order():
+    if not attempt.came_whole(response):
         raise aiohttp.ClientPayloadError("reset before the end of its body")
     return b"".join(parts)
 
 
-def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a response's body ends with its connection: it has neither a length nor chunks.
-
-    Safety: the parser takes a reset for such an end too.
-    """
-    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    return response.content_length is None and not chunked
-
-
 async def _parts(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     while part := await response.content.readany():
         yield part
--- a/vetchusher/node/proxy.py
+++ b/vetchusher/node/proxy.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -21,9 +20,7 @@
 from vetchusher.events import Event, LogEvent
 from vetchusher.net.door import Bounds, ClientLink, Door
 from vetchusher.net.links import Streamed
-from vetchusher.routing.actions import (
-    RequestHead,
-)
+from vetchusher.routing.actions import RequestHead
 from vetchusher.routing.admission import admit_request
 from vetchusher.routing.context import AttemptBudget, RoutingContext, TenantQuotas
 from vetchusher.routing.request import Request
@@ -36,8 +33,6 @@
 from .request_body import BUSY_RETRY_AFTER_US, BodyReader
 from .responses import buffered_response, rejection, stream, streamed_response
 
-log = logging.getLogger("vetchusher")
-
 RESERVED_FILES = 300  # descriptors for everything that is neither a client's nor a server's connection
 CLIENTS_PART = 0.5  # of the others
 IDLE_SLACK_S = 1.0  # clients heed their own idle limit; closing at it would cross what they send
