One endpoint of a single path serves readiness and metrics; parts are added to the metrics by who makes them

The metrics listener wrote the readiness endpoint again. The exporter told parts apart by type, for which a control node with metrics on loaded the whole data path; the process adds each part as it starts it. What both collectors share has a module of its own, so a control node no longer loads the edge's. The help text of freshness said more than the figure.

--- a/vetchusher/node/edge_node.py
+++ b/vetchusher/node/edge_node.py
@@ -29,7 +29,7 @@
 from .context import NodeContext
 from .peer_network import Channel
 from .proxy import Proxy
-from .readiness import Readiness
+from .readiness import readiness_endpoint
 from .subscriber_driver import SubscriberDriver
 
 TICK_S = 0.05
@@ -68,7 +68,7 @@
             bounds.retry_budget_ratio, int(bounds.budget_slack), bounds.budget_window_s
         )
         self.proxy = Proxy(loop, settings, rng, self.quota, self.retry_budget, context.log_event)
-        self.readiness = Readiness(loop, self.is_ready)
+        self.readiness = readiness_endpoint(loop, self.is_ready)
         self.servers: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
         self.serving_ingresses: list[ServingIngress] = []  # who serves, as told
         self.version = 0
--- a/vetchusher/node/metrics/control_metrics.py
+++ b/vetchusher/node/metrics/control_metrics.py
@@ -9,7 +9,7 @@
 from prometheus_client.core import GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from .edge_metrics import NEVER_S, gauge
+from .families import NEVER_S, gauge
 
 if TYPE_CHECKING:
     from vetchusher.control import Replica
--- a/vetchusher/node/metrics/edge_metrics.py
+++ b/vetchusher/node/metrics/edge_metrics.py
@@ -15,6 +15,8 @@
 from vetchusher.routing.claims import AttemptOutcome
 from vetchusher.routing.request import Request
 
+from .families import NEVER_S, gauge
+
 if TYPE_CHECKING:
     from vetchusher.node.edge_node import EdgeNode
 
@@ -22,7 +24,6 @@
 OTHER_ROUTES = "other"
 NO_ROUTE = ""  # of requests that were rejected before their route was known
 DURATION_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
-NEVER_S = -1.0
 
 
 class RequestMetrics(Collector):
@@ -115,7 +116,7 @@
         fresh_s = (node.proxy.context.fresh_until - now) / 1e6
         yield gauge(
             "vetchusher_configuration_fresh_seconds",
-            "For how long the configuration is known to be in force; below 0: since when it is not.",
+            "For how long the configuration is known to be in force; -1: it is not known.",
             max(NEVER_S, fresh_s),
         )
         yield gauge(
@@ -171,11 +172,6 @@
         )
 
 
-def gauge(name: str, text: str, value: float) -> Metric:
-    """Return a gauge without labels."""
-    return GaugeMetricFamily(name, text, value=value)
-
-
 def register_edge_metrics(registry: CollectorRegistry, node: EdgeNode) -> None:
     """Register all figures of an edge node and count its requests from now on."""
     requests = RequestMetrics()
--- a/vetchusher/node/metrics/exporter.py
+++ b/vetchusher/node/metrics/exporter.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from vetchusher.events import Event, LogEvent
 from vetchusher.settings.node import NodeSettings
 
 from .address import MetricsAddress
-from .listener import MetricsListener
+from .listener import metrics_endpoint
 from .process_metrics import ProcessMetrics
 
+if TYPE_CHECKING:  # each is loaded only where the process has that part
+    from vetchusher.node.control_node import ControlNode
+    from vetchusher.node.edge_node import EdgeNode
+
 
 class MetricsExporter:
     """Owner of a process's metrics from `open` to `close`."""
@@ -23,36 +28,27 @@
         self.settings = settings
         self.address = address
         self.process = ProcessMetrics(settings.node_name, settings.zone, settings.region)
-        self.listener = MetricsListener(loop, self.process.registry, address.path)
+        self.listener = metrics_endpoint(loop, self.process.registry, address.path)
         self.loop = loop
         self.probe: asyncio.Task[None] | None = None
 
-    def counting(self, log_event: Callable[[LogEvent], None]) -> Callable[[LogEvent], None]:
-        """Return a function that counts an event and hands it on."""
-        return self.process.counting(log_event)
-
-    def register_parts(self, parts: Iterable[object]) -> None:
-        """Register the figures of a process's parts."""
-        from vetchusher.node.edge_node import EdgeNode
-
-        for part in parts:
-            if isinstance(part, EdgeNode):
-                from .edge_metrics import register_edge_metrics
+    def add_edge(self, node: EdgeNode) -> None:
+        """Tell the figures of an edge node from now on."""
+        from .edge_metrics import register_edge_metrics
 
-                register_edge_metrics(self.process.registry, part)
-            else:
-                from vetchusher.node.control_node import ControlNode
+        register_edge_metrics(self.process.registry, node)
 
-                from .control_metrics import register_control_metrics
+    def add_control(self, node: ControlNode) -> None:
+        """Tell the figures of a control node from now on."""
+        from .control_metrics import register_control_metrics
 
-                assert isinstance(part, ControlNode)
-                register_control_metrics(self.process.registry, part)
+        register_control_metrics(self.process.registry, node)
 
     async def open(self, log_event: Callable[[LogEvent], None]) -> None:
         """Listen; without the port the process goes on, and says so."""
         self.probe = self.loop.create_task(self.process.probe_loop())
         try:
-            await self.listener.open(self.settings.ip_address, self.address)
+            await self.listener.open(self.settings.ip_address, self.address.port)
         except OSError as error:
             facts = {"port": self.address.port, "why": error.strerror or str(error)}
             log_event(LogEvent(Event.METRICS_UNAVAILABLE, facts))
--- a/vetchusher/node/process.py
+++ b/vetchusher/node/process.py
@@ -111,7 +111,7 @@
             from vetchusher.node.metrics.exporter import MetricsExporter
 
             self.exporter = MetricsExporter(loop, settings, metrics)
-            self.log_event = self.exporter.counting(log_event)
+            self.log_event = self.exporter.process.counting(log_event)
         address, port = settings.ip_address, settings.internal_ports[0]
         self.network = PeerNetwork(loop, address, settings.zone, port, self.on_frame, self.log_event)
         self.parts: list[Part] = []
@@ -148,7 +148,6 @@
             await self.start_edge()
         await self.network.open()
         if self.exporter is not None:
-            self.exporter.register_parts(self.parts)
             await self.exporter.open(self.log_event)
         return Success(None)
 
@@ -159,6 +158,8 @@
         settings = self.settings
         edge = EdgeNode(self.context())
         self.parts.append(edge)
+        if self.exporter is not None:
+            self.exporter.add_edge(edge)
         await edge.open()
         if settings.listen.directory is not None and not settings.data_directory:
             from .api_listener import DirectoryApi
@@ -185,6 +186,8 @@
         context.settings = settings
         control_node = ControlNode(context, store, stored, self.open_snapshots())
         self.parts.append(control_node)
+        if self.exporter is not None:
+            self.exporter.add_control(control_node)
         self.open_control_listeners(control_node)
         return Success(None)
 
--- /dev/null
+++ b/vetchusher/node/single_endpoint.py
@@ -0,0 +1,50 @@
+"""An HTTP endpoint of one path at an address of its own: readiness, metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+TEARDOWN_S = 0.1
+
+
+class SingleEndpoint:
+    """One path; every other is answered 404."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        path: str,
+        respond: Callable[[web.BaseRequest], web.Response],
+    ) -> None:
+        """Prepare the endpoint; `open` listens.
+
+        :param respond: makes the response to a request for the path
+        """
+        self.loop = loop
+        self.path = path
+        self.respond = respond
+        self.server = web.Server(self.handle, access_log=None)
+        self.listener: asyncio.Server | None = None
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen.
+
+        :raises OSError: where the port is taken
+        """
+        self.listener = await self.loop.create_server(self.server, host, port, reuse_address=True)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        if request.raw_path.partition("?")[0] != self.path:
+            return web.Response(status=404)
+        return self.respond(request)
+
+    async def close(self) -> None:
+        """Close the listener."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        await self.server.shutdown(TEARDOWN_S)
