--- a/vetchusher/directory/presence.py
+++ b/vetchusher/directory/presence.py
@@ -7,13 +7,14 @@
 from vetchusher.distribution import wire_pb2 as wire
 from vetchusher.events import Event, LogEvent
 
-from .naming import ServingIngress, choose_addresses, encode_ingress
+from .naming import IngressState, ListedIngress, encode_ingress
 
 SERVING_US = 2_500_000  # since the last heartbeat: five may be lost at the primary, two elsewhere
 MAY_SERVE_US = 60_000_000  # since the last heartbeat: cut off from here it may still serve clients
 MOST_INGRESSES = 2_048
 TTL_S = 2  # for which a client may cache the directory's answer
 RETENTION_FACTOR = 3  # times that: some clients cache it so long
+LEAVING_RATIO = 0.5  # of the grace: for so long after its SIGTERM an ingress counts as leaving
 
 
 @dataclass(slots=True)
@@ -28,10 +29,19 @@
     incarnation: int
     state: wire.Standing
     last_contact_at: int
+    leaving_since: int = 0
 
-    def as_serving(self) -> ServingIngress:
-        """Return it as the directory names it."""
-        return ServingIngress(self.node, self.zone, self.region, self.address)
+    def listed(self, now: int, leaving_us: int) -> ListedIngress:
+        """Return it as the directory knows it.
+
+        :param leaving_us: for how long after it began to shut down it still takes clients
+        """
+        state = IngressState.ABSENT
+        if self.is_serving(now):
+            state = IngressState.SERVING
+        elif self.state == wire.LEAVING and now < self.leaving_since + leaving_us:
+            state = IngressState.LEAVING
+        return ListedIngress(self.node, self.zone, self.region, self.address, state)
 
     def is_serving(self, now: int) -> bool:
         """Return whether it is ready, by a recent heartbeat."""
@@ -41,8 +51,12 @@
 class Presence:
     """Owner of one record for each ingress; removed MAY_SERVE_US after its last heartbeat."""
 
-    def __init__(self) -> None:
-        """Begin without ingresses."""
+    def __init__(self, leaving_us: int = 0) -> None:
+        """Begin without ingresses.
+
+        :param leaving_us: for how long an ingress that shuts down in order still takes clients
+        """
+        self.leaving_us = leaving_us
         self.ingresses: dict[str, Ingress] = {}
         self.departed: set[str] = set()  # of `ingresses`: logged as lost
 
@@ -55,6 +69,9 @@
             return []
         fresh = known is None or known.incarnation != heartbeat.life or heartbeat.node in self.departed
         self.departed.discard(heartbeat.node)
+        leaving_since = now
+        if known is not None and not fresh and known.state == wire.LEAVING:
+            leaving_since = known.leaving_since
         self.ingresses[heartbeat.node] = Ingress(
             heartbeat.node,
             heartbeat.ip,
@@ -64,6 +81,7 @@
             heartbeat.life,
             heartbeat.standing,
             now,
+            leaving_since,
         )
         return (
             [LogEvent(Event.INGRESS_READY, {"node": heartbeat.node, "standing": heartbeat.standing})]
@@ -96,7 +114,7 @@
     def rows(self, now: int) -> dict[str, bytes]:
         """Return the rows for subscribers: every ingress that may be serving, and whether it does."""
         return {
-            one.node: encode_ingress(one.ip, one.as_serving(), serving=one.is_serving(now))
+            one.node: encode_ingress(one.ip, one.listed(now, self.leaving_us))
             for one in self.ingresses.values()
         }
 
@@ -108,6 +126,6 @@
         """Return those that are ready, by a recent heartbeat."""
         return [one for one in self.ingresses.values() if one.is_serving(now)]
 
-    def resolve(self, now: int, region: str, zone: str) -> list[str]:
-        """Return addresses for a client of a region and zone."""
-        return choose_addresses((one.as_serving() for one in self.serving(now)), region, zone)
+    def listed(self, now: int) -> list[ListedIngress]:
+        """Return all as the directory knows them, but those without an address for clients."""
+        return [one.listed(now, self.leaving_us) for one in self.ingresses.values() if one.address]
--- a/vetchusher/node/control_node.py
+++ b/vetchusher/node/control_node.py
@@ -7,7 +7,8 @@
 from returns.result import Failure, Success
 
 from vetchusher import control
-from vetchusher.directory.presence import TTL_S, Presence
+from vetchusher.directory.presence import LEAVING_RATIO, TTL_S, Presence
+from vetchusher.directory.resolver import Resolver
 from vetchusher.distribution import wire_pb2 as wire
 from vetchusher.distribution.rows import evacuation_rows
 from vetchusher.distribution.snapshot import SnapshotStore
@@ -61,7 +62,8 @@
         self.commit_publisher = CommitPublisher(
             context.loop, self.parser, self.publish_state, context.log_event
         )
-        self.presence = Presence()
+        self.presence = Presence(int(context.settings.bounds.grace_s * LEAVING_RATIO * 1e6))
+        self.resolver = Resolver()
         self.control, self.discovery, self.directory = map(Source, ("control", "discovery", "directory"))
         self.sources = {one.name: one for one in (self.control, self.discovery, self.directory)}
         # A witness has no copy of the control state: it pulls what it publishes of it, like the rest.
@@ -190,17 +192,19 @@
     async def execute(self, call: ApiCall) -> Outcome:
         """Carry out a call of an operator, or answer a client's question for ingresses."""
         if isinstance(call, ResolveAddresses):
-            return self.resolve(call.region, call.zone)
+            return self.resolve(call)
         return await self.orders.execute(call)
 
-    def resolve(self, region: str, zone: str) -> Outcome:
+    def resolve(self, call: ResolveAddresses) -> Outcome:
         """Name ingresses that this machine heard from lately, whoever leads."""
         looked_up_at = self.now()
-        addresses = self.presence.resolve(looked_up_at, region, zone)
-        if not addresses:
+        found, events = self.resolver.resolve(self.presence.listed(looked_up_at), call.region, call.zone)
+        for event in events:
+            self.context.log_event(event)
+        if not found.addresses:
             return Failure(Error(ErrorCode.UNAVAILABLE, "no ingress is known here"))
         ttl_s = min(TTL_S, self.context.settings.bounds.ttl_max_s)
-        answer = AddressesResolved(tuple(addresses), ttl_s)
+        answer = AddressesResolved(found.addresses, ttl_s)
         return GuardedOutcome(Success(answer), lambda: self.now() <= looked_up_at + RESOLUTION_TTL_US)
 
     def on_rejected(self, call: ApiCall, error: Error) -> None:
--- a/vetchusher/node/edge_node.py
+++ b/vetchusher/node/edge_node.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
-from vetchusher.directory.naming import ServingIngress, choose_addresses, serving_ingresses
+from vetchusher.directory.naming import IngressState, ListedIngress, listed_ingresses
 from vetchusher.directory.neighbours import choose_neighbours, decode_locations
-from vetchusher.directory.presence import RETENTION_FACTOR, TTL_S
+from vetchusher.directory.presence import LEAVING_RATIO, RETENTION_FACTOR, TTL_S
+from vetchusher.directory.resolver import Resolver
 from vetchusher.discovery.reader import OWNER_LEASE_US, read_row
 from vetchusher.discovery.server import Server
 from vetchusher.distribution import wire_pb2 as wire
@@ -70,7 +72,8 @@
         self.proxy = Proxy(loop, settings, rng, self.quota, self.retry_budget, context.log_event)
         self.readiness = readiness_endpoint(loop, self.is_ready)
         self.servers: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
-        self.serving_ingresses: list[ServingIngress] = []  # who serves, as told
+        self.resolver = Resolver()
+        self.listed_ingresses: list[ListedIngress] = []  # as told
         self.version = 0
         self.configuration_digest: bytes | None = b""  # row of the configuration in force
         self.parser = ConfigurationParser(loop)
@@ -132,7 +135,7 @@
             self.quota.set_ingresses(now, ingresses, self.settings.node_name in self.directory.rows)
             self.retry_budget.set_ingresses(ingresses)
             rows = self.directory.values()
-            places, self.serving_ingresses = decode_locations(rows), serving_ingresses(rows)
+            places, self.listed_ingresses = decode_locations(rows), listed_ingresses(rows)
             near = {name: at.zone for name, at in places.items() if at.region == self.settings.region}
             self.proxy.set_ingresses(near)
             self.subscriber.set_neighbours(
@@ -241,17 +244,26 @@
         """Answer a client's question for ingresses by the directory's rows."""
         if not isinstance(call, ResolveAddresses):
             return Failure(Error(ErrorCode.NOT_FOUND, "no such call"))
-        others = [
-            one
-            for one in self.serving_ingresses
-            if not self.is_draining or one.node != self.settings.node_name
-        ]
-        fronts = choose_addresses(others, call.region, call.zone)
-        if not fronts or not self.subscriber.is_in_touch(self.now()):
+        if not self.subscriber.is_in_touch(self.now()):
             return Failure(Error(ErrorCode.UNAVAILABLE, "who serves is not known here"))
-        answer = AddressesResolved(tuple(fronts), min(TTL_S, self.settings.bounds.ttl_max_s))
+        found, events = self.resolver.resolve(self.ingresses_now(), call.region, call.zone)
+        for event in events:
+            self.log_event(event)
+        if not found.addresses:
+            return Failure(Error(ErrorCode.UNAVAILABLE, "no ingress serves"))
+        answer = AddressesResolved(found.addresses, min(TTL_S, self.settings.bounds.ttl_max_s))
         return GuardedOutcome(Success(answer), lambda: self.subscriber.is_in_touch(self.now()))
 
+    def ingresses_now(self) -> list[ListedIngress]:
+        """Return the ingresses as told, and this one as it is: it knows first that it shuts down."""
+        if not self.is_draining:
+            return self.listed_ingresses
+        leaving_s = self.settings.bounds.grace_s * LEAVING_RATIO
+        is_leaving = self.loop.time() < self.draining_since_s + leaving_s
+        state = IngressState.LEAVING if is_leaving else IngressState.ABSENT
+        own_name = self.settings.node_name
+        return [replace(one, state=state) if one.node == own_name else one for one in self.listed_ingresses]
+
     async def push_counts(self, primary: str, push: wire.Push) -> None:
         """Push what was admitted to the quota coordinator, and take its totals."""
         answer = await self.network.request(primary, wire.Frame(push=push), PUSH_TIMEOUT_S)
--- a/vetchusher/node/metrics/control_metrics.py
+++ b/vetchusher/node/metrics/control_metrics.py
@@ -9,7 +9,7 @@
 from prometheus_client.core import GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from .families import NEVER_S, gauge
+from .families import NEVER_S, directory_answers, gauge
 
 if TYPE_CHECKING:
     from vetchusher.control import Replica
@@ -102,6 +102,7 @@
                 behind.add_metric([name], float(writer.persisted_stamps.get(name) != source.stamp))
         yield rows
         yield behind
+        yield directory_answers(node.resolver.counts)
         yield gauge("vetchusher_subscribers", "Machines that are sent updates.", len(node.publisher.watchers))
         ingresses = GaugeMetricFamily("vetchusher_ingresses", "Ingresses by state.", labels=["state"])
         serving = len(node.presence.serving(now))
--- a/vetchusher/node/metrics/edge_metrics.py
+++ b/vetchusher/node/metrics/edge_metrics.py
@@ -15,7 +15,7 @@
 from vetchusher.routing.claims import AttemptOutcome
 from vetchusher.routing.request import Request
 
-from .families import NEVER_S, gauge
+from .families import NEVER_S, directory_answers, gauge
 
 if TYPE_CHECKING:
     from vetchusher.node.edge_node import EdgeNode
@@ -128,6 +128,7 @@
         )
         yield self.server_states(now)
         yield self.shedding(now)
+        yield directory_answers(node.resolver.counts)
         yield from self.quotas(now)
 
     def server_states(self, now: int) -> Metric:
