Directory: leave a client's region only for homes of the host's routes

Cause (HOME): with fewer than two serving ingresses in a region the directory named every ingress of every region; homes of routes were unknown to it. Restarts in turn overlap (an ingress is away for 6.4 s), so a region of three had none or one. Now: the region's serving ingresses, even one; beside few, others that are homes of every route of the host with homes; with none, those of such regions; else the region's own that shut down in order, for half of their grace; only then the regions with the fewest conflicts.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,10 +1,16 @@
 """The directory: whom control nodes and ingresses name to clients, while ingresses restart."""
 
+import orjson
 from testtools import TestCase
 
+from vetchusher.directory.homes import HomeIndex, HostHomes
+from vetchusher.directory.naming import Client, IngressState, ListedIngress, choose_ingresses
+from vetchusher.distribution.rows import rows_of
+from vetchusher.distribution.source import Source
 from vetchusher.emulator.fleet_world import MS, SECOND
-from vetchusher.emulator.system.world import HOST, ZONES, Scene, World
+from vetchusher.emulator.system.world import HOST, ZONES, Scene, World, configuration
 from vetchusher.node.api_calls import GuardedOutcome, ResolveAddresses
+from vetchusher.settings.configuration import read_configuration
 
 GULF = ("e1", "e2", "e3")
 FIVE = Scene(seed=7, ingresses=("gulf-a", "gulf-a", "gulf-b", "delta-a", "delta-b"), loss=0.0)
@@ -59,3 +65,65 @@
             answers.ask_every(100 * MS, world.clock.at + 1_330 * MS)
         self.assertGreater(len(answers.named), 200)
         self.assertEqual(0, sum("delta" in regions for regions in answers.named))
+
+    def test_an_ingress_that_leaves_takes_clients_of_its_region_for_half_of_its_grace(self):
+        world = World(Scene(seed=8, ingresses=("gulf-a", "gulf-b", "delta-a"), loss=0.0))
+        world.warm_up()
+        world.run(world.clock.at + 3 * SECOND)
+        for name in ("e1", "e2"):
+            world.leave(name)
+        answers = Answers(world, "gulf")
+        answers.ask_every(100 * MS, world.clock.at + 2_800 * MS)
+        self.assertEqual(0, sum("delta" in regions for regions in answers.named))
+        world.run(world.clock.at + 500 * MS)
+        answers.named.clear()
+        answers.ask_every(100 * MS, world.clock.at + SECOND)
+        self.assertEqual({frozenset({"delta"})}, set(map(frozenset, answers.named)))
+
+
+class Choice(TestCase):
+    """A row a case: ingresses of each region (serving, leaving, - absent), and whom a client of n gets."""
+
+    CASES = (
+        # n        g      d      homes of the host's routes          scope           named
+        ("sss",    "sss", "sss", (),                                 "own_region",   "n0 n1 n2"),
+        ("ss-",    "sss", "sss", ({"g"},),                           "own_region",   "n0 n1"),
+        ("s--",    "sss", "sss", ({"n"},),                           "own_region",   "n0"),
+        ("s--",    "sss", "---", ({"n", "g"},),                      "home_regions", "n0 g?"),
+        ("l--",    "ss-", "sss", ({"g"},),                           "home_regions", "g0 g1"),
+        ("ll-",    "sss", "sss", ({"g"}, {"d"}),                     "leaving",      "n0 n1"),
+        ("---",    "sss", "ss-", ({"g"}, {"d"}, {"d", "n"}),         "any_region",   "d0 d1"),
+        ("---",    "s--", "---", ({"d"},),                           "any_region",   "g0"),
+        ("---",    "l--", "---", (),                                 "nobody",       ""),
+        ("s" + 11 * "-", "sss", "sss", ({"g"},),                     "home_regions", "n0 g? g?"),
+    )  # fmt: skip
+
+    def test_whom_the_directory_names(self):
+        states = {"s": IngressState.SERVING, "l": IngressState.LEAVING, "-": IngressState.ABSENT}
+        for near, gulf, delta, homes, scope, named in self.CASES:
+            listed = [
+                ListedIngress(f"{region}{number}", f"{region}-a", region, f"{region}{number}", states[mark])
+                for region, marks in (("n", near), ("g", gulf), ("d", delta))
+                for number, mark in enumerate(marks)
+            ]
+            client = Client("n", "n-a", HostHomes(tuple(map(frozenset, homes))))
+            found = choose_ingresses(listed, client)
+            told = [
+                want if want == "g?" and address[0] == "g" else address
+                for address, want in zip(found.addresses, named.split(), strict=True)
+            ]
+            self.assertEqual((scope, named.split()), (found.scope.value, told))
+
+    def test_homes_are_indexed_by_host_and_again_with_each_version(self):
+        control = Source("control")
+        index = HomeIndex(control)
+        for version, home in ((1, "gulf"), (2, "delta")):
+            raw = orjson.loads(configuration(version))
+            for number, route in enumerate(raw["routes"]):
+                route["home_regions"] = [] if number else [home]
+            body = orjson.dumps(raw)
+            control.publish((1, version), rows_of(read_configuration(body).unwrap(), body, {}))
+            self.assertEqual(0, index.homes_of(f"{HOST}:80").conflicts(home))
+            self.assertGreater(index.homes_of(HOST.upper()).conflicts("nowhere"), 0)
+            # Of a host that is not known, the homes of all routes count.
+            self.assertEqual(index.homes_of(HOST).routes, index.homes_of("other.example").routes)
--- a/vetchusher/directory/naming.py
+++ b/vetchusher/directory/naming.py
@@ -1,14 +1,27 @@
-"""The directory's choice: which ingresses are named to a client of one region and zone."""
+"""The directory's choice: which ingresses are named to a client of one region and zone.
+
+Safety: a request of a route with homes may not be led to an ingress outside these homes and the client's own
+region.  So the own region is left only for regions that are homes of every route of the host, and while it
+has an ingress that takes clients at all, for no other.  Only where nobody else is left are others named.
+
+Requests are led to few ingresses only while few are there: where less than a quarter of a region's ingresses
+serve, others that are allowed are named beside them, as many as the quarter lacks.
+"""
 
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
+from hashlib import blake2b
+from math import ceil
+
+from .homes import NO_HOMES, HostHomes
 
 MOST_NAMED = 64  # addresses in one answer
-FEWEST_NAMED = 2  # with fewer in its region a client would have nowhere to go when one dies
+FEWEST_NAMED = 2  # with fewer a client would have nowhere to go when one dies
+LEAST_SERVING_RATIO = 0.25  # of a region's ingresses: fewer would be overrun by all of its clients
 
 
 class IngressState(IntEnum):
@@ -23,7 +36,7 @@
     """Where the ingresses of an answer stand; the value is what log and metrics say."""
 
     OWN_REGION = "own_region"
-    HOME_REGIONS = "home_regions"  # others too, all of them homes of every route of the host that has homes
+    HOME_REGIONS = "home_regions"  # others too: homes of every route of the host that has homes
     LEAVING = "leaving"  # of the own region, about to end
     ANY_REGION = "any_region"  # also where the host's routes have no home
     NOBODY = "nobody"
@@ -57,18 +70,53 @@
     leaving: int
 
 
-def choose_ingresses(ingresses: Iterable[ListedIngress], region: str, zone: str) -> Resolution:
-    """Return ingresses for a client: those of its region, or all where that has fewer than two."""
+@dataclass(slots=True, frozen=True)
+class Client:
+    """Where a client is, and which regions its host's routes allow."""
+
+    region: str
+    zone: str
+    homes: HostHomes = NO_HOMES
+
+
+def choose_ingresses(ingresses: Iterable[ListedIngress], client: Client) -> Resolution:
+    """Return ingresses for a client."""
     listed = list(ingresses)
-    serving = [one for one in listed if one.state is IngressState.SERVING]
-    near = [one for one in serving if one.region == region]
-    leaving = sum(one.region == region and one.state is IngressState.LEAVING for one in listed)
-    is_own = len(near) >= FEWEST_NAMED
-    chosen = sorted(
-        near if is_own else serving, key=lambda one: (one.region != region, one.zone != zone, one.node)
-    )
-    scope = Scope.OWN_REGION if is_own else Scope.ANY_REGION if chosen else Scope.NOBODY
-    return Resolution(tuple(one.address for one in chosen[:MOST_NAMED]), scope, len(near), leaving)
+    own = [one for one in listed if one.region == client.region]
+    near = [one for one in own if one.state is IngressState.SERVING]
+    leaving = [one for one in own if one.state is IngressState.LEAVING]
+    far = [one for one in listed if one.region != client.region and one.state is IngressState.SERVING]
+    allowed = [one for one in far if not client.homes.conflicts(one.region)]
+    wanted = max(FEWEST_NAMED, ceil(LEAST_SERVING_RATIO * len(own)))
+    chosen, scope = near, Scope.OWN_REGION
+    if len(near) < wanted and allowed:
+        chosen = near + (spread(allowed, client.zone, wanted - len(near)) if near else allowed)
+        scope = Scope.HOME_REGIONS
+    elif not near and leaving:
+        chosen, scope = leaving, Scope.LEAVING
+    elif not near:
+        chosen, scope = least_conflicting(far, client.homes), Scope.ANY_REGION
+    if not chosen:
+        scope = Scope.NOBODY
+    ordered = sorted(chosen, key=lambda one: (one.region != client.region, one.zone != client.zone, one.node))
+    addresses = tuple(one.address for one in ordered[:MOST_NAMED])
+    return Resolution(addresses, scope, len(near), len(leaving))
+
+
+def spread(ingresses: Sequence[ListedIngress], zone: str, count: int) -> list[ListedIngress]:
+    """Return some of the ingresses, others for the clients of each zone."""
+
+    def rank(one: ListedIngress) -> bytes:
+        return blake2b(f"{zone}\n{one.node}".encode(), digest_size=8).digest()
+
+    return sorted(ingresses, key=rank)[:count]
+
+
+def least_conflicting(ingresses: Sequence[ListedIngress], homes: HostHomes) -> list[ListedIngress]:
+    """Return those in the regions that are homes of the most routes."""
+    conflicts = {one.region: homes.conflicts(one.region) for one in ingresses}
+    fewest = min(conflicts.values(), default=0)
+    return [one for one in ingresses if conflicts[one.region] == fewest]
 
 
 def encode_ingress(ip: str, ingress: ListedIngress) -> bytes:
--- a/vetchusher/directory/presence.py
+++ b/vetchusher/directory/presence.py
@@ -12,8 +12,7 @@
 SERVING_US = 2_500_000  # since the last heartbeat: five may be lost at the primary, two elsewhere
 MAY_SERVE_US = 60_000_000  # since the last heartbeat: cut off from here it may still serve clients
 MOST_INGRESSES = 2_048
-TTL_S = 2  # for which a client may cache the directory's answer
-RETENTION_FACTOR = 3  # times that: some clients cache it so long
+RETENTION_FACTOR = 3  # times an answer's time to live: some clients cache it so long
 LEAVING_RATIO = 0.5  # of the grace: for so long after its SIGTERM an ingress counts as leaving
 
 
--- a/vetchusher/emulator/system/world.py
+++ b/vetchusher/emulator/system/world.py
@@ -382,7 +382,7 @@
             machine = self.rng.choice(self.cores)
             part, loop = machine.part, machine.loop
             if isinstance(part, ControlNode) and loop is not None and not loop.frozen:
-                found, _ = part.resolver.resolve(part.presence.listed(part.now()), region, "")
+                found, _ = part.resolver.resolve(part.presence.listed(part.now()), HOST, region, "")
                 ingresses = part.presence.ingresses.values()
                 named = [one.node for one in ingresses if one.address in found.addresses]
                 if named:
--- a/vetchusher/node/control_node.py
+++ b/vetchusher/node/control_node.py
@@ -7,8 +7,8 @@
 from returns.result import Failure, Success
 
 from vetchusher import control
-from vetchusher.directory.presence import LEAVING_RATIO, TTL_S, Presence
-from vetchusher.directory.resolver import Resolver
+from vetchusher.directory.presence import LEAVING_RATIO, Presence
+from vetchusher.directory.resolver import Resolver, ttl_s
 from vetchusher.distribution import wire_pb2 as wire
 from vetchusher.distribution.rows import evacuation_rows
 from vetchusher.distribution.snapshot import SnapshotStore
@@ -63,9 +63,9 @@
             context.loop, self.parser, self.publish_state, context.log_event
         )
         self.presence = Presence(int(context.settings.bounds.grace_s * LEAVING_RATIO * 1e6))
-        self.resolver = Resolver()
         self.control, self.discovery, self.directory = map(Source, ("control", "discovery", "directory"))
         self.sources = {one.name: one for one in (self.control, self.discovery, self.directory)}
+        self.resolver = Resolver(self.control)
         # A witness has no copy of the control state: it pulls what it publishes of it, like the rest.
         self.subscriber = Subscriber(context.seeds, self.sources, context.own_ip)
         self.subscriber_driver = SubscriberDriver(context.network, self.subscriber, self)
@@ -198,13 +198,14 @@
     def resolve(self, call: ResolveAddresses) -> Outcome:
         """Name ingresses that this machine heard from lately, whoever leads."""
         looked_up_at = self.now()
-        found, events = self.resolver.resolve(self.presence.listed(looked_up_at), call.region, call.zone)
+        listed = self.presence.listed(looked_up_at)
+        found, events = self.resolver.resolve(listed, call.name, call.region, call.zone)
         for event in events:
             self.context.log_event(event)
         if not found.addresses:
             return Failure(Error(ErrorCode.UNAVAILABLE, "no ingress is known here"))
-        ttl_s = min(TTL_S, self.context.settings.bounds.ttl_max_s)
-        answer = AddressesResolved(found.addresses, ttl_s)
+        kept_s = ttl_s(found.scope, self.context.settings.bounds.ttl_max_s)
+        answer = AddressesResolved(found.addresses, kept_s)
         return GuardedOutcome(Success(answer), lambda: self.now() <= looked_up_at + RESOLUTION_TTL_US)
 
     def on_rejected(self, call: ApiCall, error: Error) -> None:
--- a/vetchusher/node/edge_node.py
+++ b/vetchusher/node/edge_node.py
@@ -10,8 +10,8 @@
 
 from vetchusher.directory.naming import IngressState, ListedIngress, listed_ingresses
 from vetchusher.directory.neighbours import choose_neighbours, decode_locations
-from vetchusher.directory.presence import LEAVING_RATIO, RETENTION_FACTOR, TTL_S
-from vetchusher.directory.resolver import Resolver
+from vetchusher.directory.presence import LEAVING_RATIO, RETENTION_FACTOR
+from vetchusher.directory.resolver import TTL_S, Resolver, ttl_s
 from vetchusher.discovery.reader import OWNER_LEASE_US, read_row
 from vetchusher.discovery.server import Server
 from vetchusher.distribution import wire_pb2 as wire
@@ -72,7 +72,7 @@
         self.proxy = Proxy(loop, settings, rng, self.quota, self.retry_budget, context.log_event)
         self.readiness = readiness_endpoint(loop, self.is_ready)
         self.servers: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
-        self.resolver = Resolver()
+        self.resolver = Resolver(self.control)
         self.listed_ingresses: list[ListedIngress] = []  # as told
         self.version = 0
         self.configuration_digest: bytes | None = b""  # row of the configuration in force
@@ -246,12 +246,12 @@
             return Failure(Error(ErrorCode.NOT_FOUND, "no such call"))
         if not self.subscriber.is_in_touch(self.now()):
             return Failure(Error(ErrorCode.UNAVAILABLE, "who serves is not known here"))
-        found, events = self.resolver.resolve(self.ingresses_now(), call.region, call.zone)
+        found, events = self.resolver.resolve(self.ingresses_now(), call.name, call.region, call.zone)
         for event in events:
             self.log_event(event)
         if not found.addresses:
             return Failure(Error(ErrorCode.UNAVAILABLE, "no ingress serves"))
-        answer = AddressesResolved(found.addresses, min(TTL_S, self.settings.bounds.ttl_max_s))
+        answer = AddressesResolved(found.addresses, ttl_s(found.scope, self.settings.bounds.ttl_max_s))
         return GuardedOutcome(Success(answer), lambda: self.subscriber.is_in_touch(self.now()))
 
     def ingresses_now(self) -> list[ListedIngress]:
