--- a/benchmarks/calm_days.py
+++ b/benchmarks/calm_days.py
@@ -1,7 +1,7 @@
-"""Calm days of deployments, played by a bench and compared: hunts look at broken rules, and refusals break none.
+"""Calm days of deployments, played by a bench and compared: refusals break no rule, and so hunts miss them.
 
-Each seed draws a day without plan or fault.  The table lists each with its worth, the share served, refused and
-failed, and marks a day that is below the others.
+Each seed draws a day without plan or fault.  The table lists each with its worth, the share served, refused
+and failed, and marks a day that is below the others.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 from docopt import docopt
 
-USAGE = """Usage: benchmarks.calm_days BENCH SITE... [--seeds=RANGE] [--until=S] [--jobs=N] [--why=TEXT] [--keep=FILE]
+USAGE = """Usage: benchmarks.calm_days BENCH SITE... [options]
 
 BENCH is the program that plays days, SITE the file of a deployment.
 
@@ -91,8 +91,8 @@
 def lines_of(days: Sequence[CalmDay]) -> list[str]:
     """Return the table in Markdown."""
     head = ["deployment", "seed", "worth", "served", "refused", "failed", "", "fault"]
-    rows = [head, ["---"] * len(head), *rows_of(days)]
-    return ["| " + " | ".join(map(str, row)) + " |" for row in rows]
+    rows: list[list[object]] = [list(head), ["---"] * len(head), *rows_of(days)]
+    return ["| " + " | ".join(str(cell) for cell in row) + " |" for row in rows]
 
 
 def main(argv: list[str]) -> int:
