Roll-outs: orders, exposure budget, verdict and both ends on the ordinary path

The order and its state are control state, committed, told to ingresses as rows, read under the lease. Each ingress exposes a fixed share of its own requests, on few servers; it counts errors and slow answers of both versions side by side. The leader merges the counts and decides by cumulative sums; a promoted version completes once nothing is open at the old one.

--- a/benchmarks/control_changes.py
+++ b/benchmarks/control_changes.py
@@ -31,7 +31,8 @@
 from typing import Any
 
 from vetchusher.control import PersistentState, ReplaceOrder, Store
-from vetchusher.control.state import apply_order, copy_state, first_replica_set, first_state, state_stamp
+from vetchusher.control.state import apply_order, first_replica_set, first_state, state_stamp
+from vetchusher.control.state_copy import copy_state
 from vetchusher.distribution.rows import rows_of
 from vetchusher.distribution.snapshot import SnapshotStore
 from vetchusher.distribution.source import Source
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -28,7 +28,7 @@
 SYSTEM = [
     ["node"],
     ["control", "routing", "directory", "discovery", "distribution"],
-    ["quota"],
+    ["quota", "rollout"],
 ]
 DAEMON = [
     ["__main__", "wirehost", "net"],
--- a/vetchusher/control/encoding.py
+++ b/vetchusher/control/encoding.py
@@ -17,7 +17,7 @@
 from google.protobuf.message import Message
 
 from .messages import PersistentState
-from .state import copy_state
+from .state_copy import copy_state
 
 STATE = "state"
 MANIFEST = "manifest"  # row with the digests of the configuration's chunks, in their order
--- a/vetchusher/control/imported_state.py
+++ b/vetchusher/control/imported_state.py
@@ -7,7 +7,8 @@
 from vetchusher.distribution.wire_pb2 import ControlState
 
 from .messages import PersistentState
-from .state import copy_state, first_replica_set, state_stamp
+from .state import first_replica_set, state_stamp
+from .state_copy import copy_state
 
 EPOCH_LEAP = 1 << 20  # epochs: more than are ever begun after an export and before its import
 
--- a/vetchusher/control/messages.py
+++ b/vetchusher/control/messages.py
@@ -7,7 +7,7 @@
 
 from returns.result import Result
 
-from vetchusher.distribution.wire_pb2 import ControlMessage, ControlState, ReplicaSet
+from vetchusher.distribution.wire_pb2 import ControlMessage, ControlState, ReplicaSet, RolloutState
 from vetchusher.errors import Error
 from vetchusher.events import LogEvent
 
@@ -181,7 +181,36 @@
     previous_order: int | None = None
 
 
-Order = ReplaceOrder | RetrieveOrder | EvacuationOrder
+@dataclass(slots=True, frozen=True)
+class RolloutOrder:
+    """Begin to roll out a version of a service."""
+
+    service: str
+    target_version: str
+    duration_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class RolloutDecision:
+    """Take a roll-out on to its next state.
+
+    :param number: of the roll-out that it was decided for; another one by now is left as it is
+    """
+
+    service: str
+    number: int
+    state: RolloutState
+
+
+@dataclass(slots=True, frozen=True)
+class RetrieveRolloutOrder:
+    """Read the newest roll-out of a service, as an encoded message."""
+
+    service: str
+
+
+ReadOrder = RetrieveOrder | RetrieveRolloutOrder
+Order = ReplaceOrder | ReadOrder | EvacuationOrder | RolloutOrder | RolloutDecision
 
 
 @dataclass(slots=True, frozen=True)
--- a/vetchusher/control/order_queue.py
+++ b/vetchusher/control/order_queue.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from returns.result import Failure, Result
@@ -15,7 +15,7 @@
 from vetchusher.distribution.wire_pb2 import ControlState
 from vetchusher.errors import Error, ErrorCode
 
-from .messages import Completed, Order, Output, RetrieveOrder, Submitted, Timing
+from .messages import Completed, Order, Output, ReadOrder, Submitted, Timing
 from .orders import Decision, KnownBodies, OrderBatch
 
 MAX_PENDING_ORDERS = 256
@@ -46,7 +46,7 @@
         if len(self.changes) + len(self.in_write) + len(self.reads) >= MAX_PENDING_ORDERS:
             fault = Error(ErrorCode.UNAVAILABLE, "too many orders wait")
             return [Completed(submitted.order_id, Failure(fault))]
-        queue = self.reads if isinstance(submitted.order, RetrieveOrder) else self.changes
+        queue = self.reads if isinstance(submitted.order, ReadOrder) else self.changes
         expires_at = now + self.timing.order_timeout_us
         queue.append(PendingOrder(submitted.order_id, submitted.order, expires_at))
         return []
@@ -68,10 +68,13 @@
         self.known_bodies = batch.known_bodies()
         return batch, outputs
 
-    def answer_reads(self, outcome: Result[bytes, Error]) -> list[Output]:
-        """Answer all reads."""
+    def answer_reads(self, read: Callable[[Order], Result[bytes, Error]]) -> list[Output]:
+        """Answer all reads.
+
+        :param read: returns what is committed
+        """
         reads, self.reads = self.reads, []
-        return [Completed(one.order_id, outcome) for one in reads]
+        return [Completed(one.order_id, read(one.order)) for one in reads]
 
     def answer_write(self) -> list[Output]:
         """Answer the changes of a write that is committed."""
--- a/vetchusher/control/orders.py
+++ b/vetchusher/control/orders.py
@@ -79,12 +79,12 @@
         """Decide one order."""
         if isinstance(order, ReplaceOrder):
             return self.decide_replace(order)
-        # Safety: what is done already may be done only by the write, which is not committed yet.
-        needs_commit = (
-            self.state is not self.committed
-            or apply_order(self.committed, order).value_or(None) is not self.committed
-        )
-        return Decision(self.apply(order), needs_commit)
+        # Safety: what is done already may be done only by the write, which is not committed yet; what is
+        # rejected by the committed state needs no write.
+        before = self.state
+        outcome = self.apply(order)
+        needs_commit = before is not self.committed or self.state is not self.committed
+        return Decision(outcome, needs_commit)
 
     def decide_replace(self, order: ReplaceOrder) -> Decision:
         """Decide the replacement of the configuration."""
--- a/vetchusher/control/primary.py
+++ b/vetchusher/control/primary.py
@@ -25,11 +25,12 @@
 
 from .epoch import EpochContext
 from .leader_lease import LeaderLease
-from .messages import Committed, Output, Send, Submitted
+from .messages import Committed, Order, Output, RetrieveRolloutOrder, Send, Submitted
 from .order_queue import OrderQueue
 from .progress import ProgressTracker, ReplicaProgress
 from .reconfiguration import Reconfiguration
 from .replication import Replicator
+from .rollouts import rollout_of
 from .state import state_stamp, voters
 
 MAX_LEARNERS = 8
@@ -225,11 +226,24 @@
         """Answer reads and the orders of a committed write under the lease, and orders that took too long."""
         outputs: list[Output] = []
         if self.is_leader(now):
-            outputs += self.orders.answer_reads(self.read_configuration())
+            outputs += self.orders.answer_reads(self.read)
             if self.replicator.write_began_at is None:
                 outputs += self.orders.answer_write()
         return outputs + self.orders.answer_expired(now)
 
+    def read(self, order: Order) -> Result[bytes, Error]:
+        """Return what an order reads of the committed state."""
+        if isinstance(order, RetrieveRolloutOrder):
+            return self.read_rollout(order.service)
+        return self.read_configuration()
+
+    def read_rollout(self, service: str) -> Result[bytes, Error]:
+        """Return the committed roll-out of a service, encoded."""
+        rollout = rollout_of(self.committed, service) if self.committed is not None else None
+        if rollout is None:
+            return Failure(Error(ErrorCode.NOT_FOUND, f"no roll-out of {service}"))
+        return Success(rollout.SerializeToString())
+
     def read_configuration(self) -> Result[bytes, Error]:
         """Return the committed configuration's bytes as they were sent."""
         if self.committed is None or not self.committed.version:
--- a/vetchusher/control/replication.py
+++ b/vetchusher/control/replication.py
@@ -26,7 +26,8 @@
 from .messages import Output, Send
 from .progress import ProgressTracker, ReplicaProgress
 from .reconfiguration import Reconfiguration
-from .state import copy_state, state_stamp, without_configuration
+from .state import state_stamp, without_configuration
+from .state_copy import copy_state
 
 
 class Replicator:
--- a/vetchusher/control/state.py
+++ b/vetchusher/control/state.py
@@ -14,7 +14,9 @@
 from vetchusher.distribution.wire_pb2 import ControlState, Evacuation, ReplicaSet
 from vetchusher.errors import Error, ErrorCode
 
-from .messages import EvacuationOrder, Order, ReplaceOrder
+from .messages import EvacuationOrder, Order, ReplaceOrder, RolloutDecision, RolloutOrder
+from .rollouts import apply_rollout, apply_rollout_decision
+from .state_copy import copy_state
 
 MAX_ZONES = 256  # that evacuations may name
 
@@ -79,21 +81,16 @@
     return min(max(losses + 1, members - majority(members) + 1), majority(members))
 
 
-def copy_state(state: ControlState, stamped: StampTuple | None = None) -> ControlState:
-    """Return a copy, under another stamp where one is given."""
-    made = ControlState()
-    made.CopyFrom(state)
-    if stamped is not None:
-        made.stamp.CopyFrom(stamp_message(stamped))
-    return made
-
-
 def apply_order(state: ControlState, order: Order) -> Result[ControlState, Error]:
     """Return the state after one order; the very same object where the order changes nothing."""
     if isinstance(order, ReplaceOrder):
         return apply_replace(state, order)
     if isinstance(order, EvacuationOrder):
         return apply_evacuation(state, order)
+    if isinstance(order, RolloutOrder):
+        return apply_rollout(state, order)
+    if isinstance(order, RolloutDecision):
+        return apply_rollout_decision(state, order)
     return Success(state)
 
 
@@ -150,6 +147,7 @@
         stamp=state.stamp,
         version=state.version,
         evacuations=state.evacuations,
+        rollouts=state.rollouts,
         configuration_left_out=True,
     )
     return made
--- a/vetchusher/control/stored_rows.py
+++ b/vetchusher/control/stored_rows.py
@@ -19,7 +19,7 @@
 from .database_file import is_corruption
 from .digests import LEAVES, DigestTree, digest, field_rows, leaf_of, row_digests, state_from_rows
 from .encoding import SEAL, decode_rows, row_checksum, seal_checksum
-from .state import copy_state
+from .state_copy import copy_state
 
 SCAN_STEP_BYTES = 256 << 10
 MAX_DAMAGED_LISTED = 8
--- a/vetchusher/events.py
+++ b/vetchusher/events.py
@@ -32,6 +32,11 @@
     REPLICA_SET_ESTABLISHED = 210
     VERSION_CONFLICT = 211  # one number, two bodies
     MEMBER_REMOVED = 212
+    ROLLOUT_BEGAN = 213
+    ROLLOUT_PROMOTED = 214
+    ROLLOUT_COMPLETED = 215
+    ROLLOUT_REVERTED = 216
+    ROLLOUT_DECIDED = 217
     ROWS_DAMAGED = 220  # on the own disk
     ROWS_REWRITTEN = 221
     COPIES_DIFFER = 222
@@ -58,7 +63,9 @@
 
 
 # Events that somebody should look at: written at the level of warnings.
-WARNINGS = frozenset({Event.SHEDDING_BEGAN, Event.REFUSING_WITH_ROOM, Event.HOMES_DISJOINT})
+WARNINGS = frozenset(
+    {Event.SHEDDING_BEGAN, Event.REFUSING_WITH_ROOM, Event.HOMES_DISJOINT, Event.ROLLOUT_REVERTED}
+)
 
 
 @dataclass(slots=True, frozen=True)
--- a/vetchusher/node/api_calls.py
+++ b/vetchusher/node/api_calls.py
@@ -54,8 +54,33 @@
     zone: str
 
 
+@dataclass(slots=True, frozen=True)
+class InitiateRollout:
+    """Begin to roll out a version of a service.
+
+    :param duration_ms: within which it is to be decided
+    """
+
+    service: str
+    target_version: str
+    duration_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class RetrieveRollout:
+    """Read the state of a service's newest roll-out."""
+
+    service: str
+
+
 ApiCall = (
-    ReplaceConfiguration | RetrieveConfiguration | InitiateEvacuation | TerminateEvacuation | ResolveAddresses
+    ReplaceConfiguration
+    | RetrieveConfiguration
+    | InitiateEvacuation
+    | TerminateEvacuation
+    | InitiateRollout
+    | RetrieveRollout
+    | ResolveAddresses
 )
 
 # -- results.  Fields of those that are answered as JSON are names on the wire. --------------------
@@ -96,7 +121,30 @@
     ttl_s: float
 
 
-ApiResult = ConfigurationReplaced | ConfigurationRetrieved | EvacuationSet | AddressesResolved
+@dataclass(slots=True, frozen=True)
+class RolloutInitiated:
+    """The roll-out is under way, or was."""
+
+
+@dataclass(slots=True, frozen=True)
+class RolloutRetrieved:
+    """A service's newest roll-out.
+
+    :param state: `in_progress`, `completed` or `reverted`
+    """
+
+    state: str
+    target_version: str
+
+
+ApiResult = (
+    ConfigurationReplaced
+    | ConfigurationRetrieved
+    | EvacuationSet
+    | RolloutInitiated
+    | RolloutRetrieved
+    | AddressesResolved
+)
 
 # -- outcomes --------------------------------------------------------------------------------------
 
--- a/vetchusher/node/api_endpoints.py
+++ b/vetchusher/node/api_endpoints.py
@@ -26,15 +26,20 @@
     ConfigurationRetrieved,
     EvacuationSet,
     InitiateEvacuation,
+    InitiateRollout,
     ReplaceConfiguration,
     ResolveAddresses,
     RetrieveConfiguration,
+    RetrieveRollout,
+    RolloutInitiated,
+    RolloutRetrieved,
     TerminateEvacuation,
 )
 
 DEFAULT_RETRY_AFTER_US = 500_000  # told to a caller where an error does not say when to come back
 MAX_NAME_CHARACTERS = 255  # of a zone's or host's name
 UNAVAILABLE_STATUS = 503
+MAX_ROLLOUT_S = 86_400
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,13 +83,48 @@
     def parse(request: OperatorRequest) -> Result[ApiCall, Error]:
         zone = unquote(request.path_parts["zone"])
         # The name becomes a row's key and is logged.
-        if not zone.isprintable() or len(zone) > MAX_NAME_CHARACTERS:
-            return Failure(Error(ErrorCode.INVALID_ORDER, "zone: no name of one"))
+        if not is_name(zone):
+            return invalid("zone: no name of one")
         return Success(call(zone))
 
     return parse
 
 
+def parse_initiate_rollout(request: OperatorRequest) -> Result[ApiCall, Error]:
+    """Parse an order to roll out a version."""
+    told: Any
+    try:
+        told = orjson.loads(request.body)
+    except ValueError:
+        return invalid("rollout: no JSON")
+    if not isinstance(told, dict):
+        return invalid("rollout: no object")
+    for name in ("service", "target_version"):
+        if not is_name(told.get(name)):
+            return invalid(f"rollout.{name}: no name of one")
+    duration_s: Any = told.get("duration_s")
+    if type(duration_s) not in (int, float) or not 0 < duration_s <= MAX_ROLLOUT_S:
+        return invalid(f"rollout.duration_s: no number above 0 and up to {MAX_ROLLOUT_S}")
+    duration_ms = max(1, int(duration_s * 1000))
+    return Success(InitiateRollout(told["service"], told["target_version"], duration_ms))
+
+
+def parse_retrieve_rollout(request: OperatorRequest) -> Result[ApiCall, Error]:
+    """Parse a request for the state of a roll-out."""
+    service = unquote(request.path_parts["service"])
+    return Success(RetrieveRollout(service)) if is_name(service) else invalid("service: no name of one")
+
+
+def is_name(value: object) -> bool:
+    """Return whether a value can name something: it becomes a row's key, and is logged."""
+    return isinstance(value, str) and 0 < len(value) <= MAX_NAME_CHARACTERS and value.isprintable()
+
+
+def invalid(text: str) -> Result[ApiCall, Error]:
+    """Return the error of an order that says what no order can."""
+    return Failure(Error(ErrorCode.INVALID_ORDER, text))
+
+
 def parse_resolution(request: OperatorRequest) -> Result[ApiCall, Error]:
     """Parse a client's question for ingresses; whatever it leaves out is empty."""
     fields = (request.query.get(name, "")[:MAX_NAME_CHARACTERS] for name in ("name", "region", "zone"))
@@ -100,6 +140,8 @@
     Endpoint(
         "POST", re.compile("/evacuation/(?P<zone>[^/]+)/terminate"), evacuation_parser(TerminateEvacuation)
     ),
+    Endpoint("POST", re.compile("/rollouts/initiate"), parse_initiate_rollout, has_body=True),
+    Endpoint("GET", re.compile("/rollouts/(?P<service>[^/]+)/retrieve"), parse_retrieve_rollout),
 )
 DIRECTORY_ENDPOINTS = (Endpoint("GET", re.compile("/resolution"), parse_resolution),)
 
@@ -107,6 +149,8 @@
     ConfigurationReplaced: lambda result: b"{}",
     ConfigurationRetrieved: lambda result: bytes(result.body),
     EvacuationSet: orjson.dumps,
+    RolloutInitiated: lambda result: b"{}",
+    RolloutRetrieved: orjson.dumps,
     AddressesResolved: orjson.dumps,
 }
 
--- a/vetchusher/node/control_node.py
+++ b/vetchusher/node/control_node.py
@@ -10,12 +10,13 @@
 from vetchusher.directory.presence import LEAVING_RATIO, Presence
 from vetchusher.directory.resolver import Resolver, ttl_s
 from vetchusher.distribution import wire_pb2 as wire
-from vetchusher.distribution.rows import evacuation_rows
+from vetchusher.distribution.rows import SERVICE, evacuation_rows
 from vetchusher.distribution.snapshot import SnapshotStore
 from vetchusher.distribution.source import Source, version_vector
 from vetchusher.distribution.subscriber import Subscriber
 from vetchusher.errors import Error, ErrorCode
 from vetchusher.events import Event, LogEvent
+from vetchusher.rollout.directive import rollout_rows
 from vetchusher.settings.configuration import Configuration
 from vetchusher.settings.node import NodeSettings
 
@@ -30,6 +31,7 @@
 from .peer_network import Channel
 from .persister import Persister
 from .repair_driver import RepairDriver
+from .rollout_role import RolloutRole
 from .server_list_poller import ServerListPoller
 from .snapshot_writer import SnapshotWriter
 from .subscriber_driver import SubscriberDriver
@@ -75,6 +77,7 @@
         self.publisher = UpdatePublisher(context.network, self.sources, self.heartbeat_reply)
         self.orders = OrderService(context, self.replica, self.parser, self)
         self.leader_roles = self.create_leader_roles()
+        self.rollouts = RolloutRole(context, self.orders)
         self.peer_messages = self.create_peer_messages()
         self.snapshot_writer: SnapshotWriter | None = None
         if snapshots is not None:
@@ -116,6 +119,7 @@
             self.orders,
             self.subscriber,
             self.subscriber_driver,
+            self.rollouts,
         )
         return PeerMessageHandler(self.context, self.feed, parts)
 
@@ -157,6 +161,8 @@
             self.leader_roles.configure(parsed.configuration)
             self.warn_of(parsed.configuration)
             rows = {**parsed.rows, **evacuation_rows({one.zone: one.on for one in state.evacuations})}
+            rows |= rollout_rows(state.rollouts)
+        self.rollouts.observe(state.rollouts)
         if self.control.publish((state.stamp.epoch, state.stamp.seq), rows):
             self.leader_roles.apply_configuration(self.now())
             self.publisher.notify_watchers()
@@ -201,6 +207,10 @@
         """Return whether a majority stands behind what is published here."""
         return self.replica.is_in_force(now, self.control.stamp)
 
+    def knows_service(self, name: str) -> bool:
+        """Return whether the configuration that is published here names a service."""
+        return f"{SERVICE}{name}" in self.control.rows
+
     async def execute(self, call: ApiCall) -> Outcome:
         """Carry out a call of an operator, or answer a client's question for ingresses."""
         if isinstance(call, ResolveAddresses):
@@ -246,6 +256,7 @@
         for event in self.presence.expire(now):
             self.context.log_event(event)
         self.leader_roles.tick(now)
+        self.rollouts.tick(now)
         self.subscriber_driver.perform(self.subscriber.tick(now))
         if self.snapshot_writer is not None:
             self.snapshot_writer.tick()
--- a/vetchusher/node/edge_node.py
+++ b/vetchusher/node/edge_node.py
@@ -23,6 +23,8 @@
 from vetchusher.quota.local_quota import LocalQuota
 from vetchusher.quota.retry_budget import RetryBudget
 from vetchusher.quota.windows import QuotaBounds as QuotaBounds
+from vetchusher.rollout.directive import directives_of
+from vetchusher.routing.rollouts import Rollouts
 from vetchusher.settings.configuration import Configuration
 from vetchusher.settings.node import NodeSettings
 
@@ -39,6 +41,7 @@
 PUSH_TIMEOUT_S = 0.6  # for the totals that answer one
 FINISH_REQUESTS_S = 1.0  # of the grace: for the requests taken by then
 MAX_PUSHES = 4  # under way at a time
+ROLLOUT_REPORT_S = 0.2  # between two reports of what is seen of roll-outs
 OVERLOAD_CHECK_S = 1.0  # between two looks at shedding and refusals
 
 
@@ -71,6 +74,7 @@
             bounds.retry_budget_ratio, int(bounds.budget_slack), bounds.budget_window_s
         )
         self.proxy = Proxy(loop, settings, rng, self.quota, self.retry_budget, context.log_event)
+        self.proxy.context.rollouts = Rollouts(bounds.exposure_share)
         self.readiness = readiness_endpoint(loop, self.is_ready)
         self.servers: dict[str, tuple[bytes, Server]] = {}  # rows as told, and what they say
         self.resolver = Resolver(self.control)
@@ -85,6 +89,7 @@
         self.push_tasks: set[asyncio.Task[None]] = set()
         self.last_push_at_s = 0.0
         self.overload_checked_at_s = 0.0
+        self.last_rollout_report_s = 0.0
 
     # -- keeping up -------------------------------------------------------------------------
 
@@ -140,6 +145,7 @@
             places, self.listed_ingresses = decode_locations(rows), listed_ingresses(rows)
             near = {name: at.zone for name, at in places.items() if at.region == self.settings.region}
             self.proxy.set_ingresses(near)
+            self.proxy.context.rollouts.near_ingresses = max(1, len(near))
             self.subscriber.set_neighbours(
                 choose_neighbours(self.settings.node_name, self.settings.region, places)
             )
@@ -153,6 +159,7 @@
         """Apply the configuration of the control source, now or once it is parsed."""
         rows = self.control.values()
         self.proxy.set_evacuated(evacuated_of(rows), now)
+        self.proxy.context.set_rollouts(directives_of(rows))
         if self.parse_task is None and rows.get(DIGEST) == self.configuration_digest:
             return  # an evacuation; the configuration is the one in force
         if self.parse_task is None and sum(map(len, rows.values())) <= MAX_BYTES_ON_LOOP:
@@ -230,6 +237,7 @@
                 task = self.loop.create_task(self.push_counts(primary, push))
                 self.push_tasks.add(task)
                 task.add_done_callback(self.push_tasks.discard)
+        self.report_rollouts(now)
         standing = self.quota.log_fields(now)
         if standing is not None:
             self.log_event(
@@ -245,6 +253,18 @@
             self.log_overload(now)
         self.network.keep_peers({*self.subscriber.contacts, *self.subscriber.neighbours})
 
+    def report_rollouts(self, now: int) -> None:
+        """Report what was seen of the services that are being rolled out."""
+        routing = self.proxy.context
+        if not routing.rollouts.active or self.loop.time() - self.last_rollout_report_s < ROLLOUT_REPORT_S:
+            return
+        self.last_rollout_report_s = self.loop.time()
+        primary = self.subscriber.primary(now)
+        if primary:
+            seen = routing.rollouts.reports(now, self.proxy.selector.open_at_other_versions)
+            report = wire.RolloutReport(node=self.settings.node_name, life=self.incarnation, services=seen)
+            self.network.send(primary, wire.Frame(rollout_report=report))
+
     def log_overload(self, now: int) -> None:
         """Log where shedding began or ended, and refusals while servers are free."""
         routing = self.proxy.context
--- a/vetchusher/node/order_service.py
+++ b/vetchusher/node/order_service.py
@@ -24,8 +24,12 @@
     EvacuationSet,
     GuardedOutcome,
     InitiateEvacuation,
+    InitiateRollout,
     ReplaceConfiguration,
     RetrieveConfiguration,
+    RetrieveRollout,
+    RolloutInitiated,
+    RolloutRetrieved,
     TerminateEvacuation,
 )
 from .configuration_parser import ConfigurationParser
@@ -38,6 +42,14 @@
 RETRY_AFTER_US = 300_000  # told to a caller while no leader answers
 DISK_RETRY_AFTER_US = 500_000  # told where the disk refuses; it is tried as often (`Timing.persist_retry_us`)
 
+# States as operators are told them.
+TOLD_STATES = {
+    wire.IN_PROGRESS: "in_progress",
+    wire.PROMOTING: "in_progress",
+    wire.COMPLETED: "completed",
+    wire.REVERTED: "reverted",
+}
+
 Outcome = Result[ApiResult, Error] | GuardedOutcome
 
 
@@ -53,6 +65,9 @@
     def disk_failure(self) -> str:
         """Return why the disk refused the last write; empty: it did not."""
 
+    def knows_service(self, name: str) -> bool:
+        """Return whether the configuration that is published here names a service."""
+
 
 class OrderService:
     """Owner of the orders that wait for the replica, by the id that it was given."""
@@ -87,6 +102,10 @@
                 return await self.set_evacuation(zone, on=True)
             case TerminateEvacuation(zone):
                 return await self.set_evacuation(zone, on=False)
+            case InitiateRollout():
+                return await self.initiate_rollout(call)
+            case RetrieveRollout(service):
+                return await self.retrieve_rollout(service)
         return Failure(Error(ErrorCode.NOT_FOUND, "no such call"))
 
     async def replace_configuration(self, body: bytes) -> Outcome:
@@ -106,6 +125,25 @@
         decided = await self.commit_or_forward(control.EvacuationOrder(zone, on), message)
         return acknowledged(decided, EvacuationSet(zone, on))
 
+    async def initiate_rollout(self, call: InitiateRollout) -> Outcome:
+        """Begin a roll-out of a service that the configuration in force names."""
+        if not self.host.knows_service(call.service):
+            # Safety: a machine that is cut off may hold an older configuration, and a 4xx ends an order.
+            unknown = Failure(Error(ErrorCode.INVALID_ORDER, f"rollout.service: no service {call.service}"))
+            return GuardedOutcome(unknown, lambda: self.host.is_in_force(self.context.now()))
+        order = control.RolloutOrder(call.service, call.target_version, call.duration_ms)
+        message = wire.InitiateRollout(
+            service=call.service, target_version=call.target_version, duration_ms=call.duration_ms
+        )
+        decided = await self.commit_or_forward(order, wire.OrderAsked(initiate_rollout=message))
+        return acknowledged(decided, RolloutInitiated())
+
+    async def retrieve_rollout(self, service: str) -> Outcome:
+        """Read the state of a service's roll-out."""
+        message = wire.OrderAsked(retrieve_rollout=wire.RetrieveRollout(service=service))
+        decided = await self.commit_or_forward(control.RetrieveRolloutOrder(service), message)
+        return GuardedOutcome(decided.outcome.bind(rollout_result), decided.still_valid)
+
     def unknown_zone(self, zone: str) -> GuardedOutcome:
         """Reject a zone that the settings do not name.
 
@@ -230,9 +268,22 @@
             case "evacuate":
                 decided = await self.commit_here(evacuation_order(message.evacuate))
                 return acknowledged(decided, b"").checked_at_send()
+            case "initiate_rollout":
+                told = message.initiate_rollout
+                rollout = control.RolloutOrder(told.service, told.target_version, told.duration_ms)
+                return acknowledged(await self.commit_here(rollout), b"").checked_at_send()
+            case "retrieve_rollout":
+                read = control.RetrieveRolloutOrder(message.retrieve_rollout.service)
+                return (await self.commit_here(read)).checked_at_send()
         return Failure(Error(ErrorCode.UNAVAILABLE, "no such order"))
 
 
+def rollout_result(encoded: bytes) -> Result[RolloutRetrieved, Error]:
+    """Return what an operator is told of a roll-out."""
+    rollout = wire.Rollout.FromString(encoded)
+    return Success(RolloutRetrieved(TOLD_STATES[rollout.state], rollout.target_version))
+
+
 def forwarded_error(done: wire.OrderDone) -> Error:
     """Return the leader's error.
 
--- a/vetchusher/node/peer_messages.py
+++ b/vetchusher/node/peer_messages.py
@@ -16,6 +16,7 @@
 from .order_service import OrderService
 from .peer_network import Channel
 from .repair_driver import REPAIR_MESSAGES, RepairDriver
+from .rollout_role import RolloutRole
 from .subscriber_driver import SubscriberDriver
 from .update_publisher import UpdatePublisher
 
@@ -32,6 +33,7 @@
     orders: OrderService
     subscriber: Subscriber
     subscriber_driver: SubscriberDriver
+    rollouts: RolloutRole
 
 
 class PeerMessageHandler:
@@ -58,6 +60,7 @@
             "push": self.on_quota_push,
             "order": self.on_order,
             "heartbeat_reply": self.on_heartbeat_reply,
+            "rollout_report": self.on_rollout_report,
         }
 
     def on_frame(self, frame: wire.Frame, channel: Channel) -> None:
@@ -107,6 +110,10 @@
         if alarm is not None:
             self.parts.publisher.broadcast(wire.Frame(totals=alarm))
 
+    def on_rollout_report(self, frame: wire.Frame, channel: Channel) -> None:
+        """Take what an ingress has seen of roll-outs."""
+        self.parts.rollouts.on_report(frame.rollout_report)
+
     def on_order(self, frame: wire.Frame, channel: Channel) -> None:
         """Carry out an order that another control node forwarded."""
         task = self.context.loop.create_task(self.parts.orders.on_forwarded_order(frame, channel))
--- a/vetchusher/routing/context.py
+++ b/vetchusher/routing/context.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from vetchusher.errors import Error, ErrorCode
+from vetchusher.rollout.directive import Directive
 from vetchusher.settings.configuration import Configuration, Route
 
 from .priority import RegionalShedders
 from .refusals import RefusalMonitor
+from .rollouts import Rollouts
 from .routes import RouteTable
 from .server_selection import ServerSelector
 
@@ -56,6 +59,7 @@
     rng: random.Random
     shedders: RegionalShedders = field(init=False)
     refusals: RefusalMonitor = field(default_factory=RefusalMonitor)
+    rollouts: Rollouts = field(default_factory=Rollouts)
     table: RouteTable | None = None
     fresh_until: int = -1
     response_times: dict[str, float] = field(default_factory=dict)
@@ -72,6 +76,11 @@
         names = {route.name for route in configuration.routes}
         self.response_times = {name: time for name, time in self.response_times.items() if name in names}
 
+    def set_rollouts(self, directives: Mapping[str, Directive]) -> None:
+        """Take the newest roll-outs."""
+        self.rollouts.set_directives(directives)
+        self.choice.set_rollouts(directives)
+
     def record_response_time(self, route: Route, took_us: int) -> None:
         """Note how long a route's response took, in microseconds."""
         before = self.response_times.get(route.name)
--- a/vetchusher/routing/request.py
+++ b/vetchusher/routing/request.py
@@ -20,6 +20,7 @@
 from .headers import ATTEMPT_ID, SUBSCRIBER, TARGET_INSTANCE, TIME_REMAINING, request_headers
 from .priority import Pool, urgency_of
 from .refusals import REASON_OF, REFUSALS, RefusalReason
+from .rollouts import AttemptKey
 from .routes import RouteTable, allowed_regions, draw_services
 from .server_selection import NoServerReason
 
@@ -119,12 +120,26 @@
     def _first_server(self, now: int, services: Sequence[str]) -> Server | None:
         allowed = allowed_regions(self.route, self.tenant)
         for service in services:
-            server = self.context.choice.choose(now, service, allowed, (), self._failure_cost_us(now))
+            server = self._exposed_server(now, service, allowed)
+            if server is None:
+                server = self.context.choice.choose(now, service, allowed, (), self._failure_cost_us(now))
             if server is not None:
                 self.service = service
                 return server
         return None
 
+    def _exposed_server(self, now: int, service: str, allowed: frozenset[str] | None) -> Server | None:
+        """Return a server of a version that is being rolled out, if this request is to be exposed to it.
+
+        Safety: only while the roll-out's state is known to be the newest: a version may have been reverted.
+        """
+        rollouts, choice = self.context.rollouts, self.context.choice
+        if not rollouts.may_expose(service) or now > self.context.fresh_until:
+            return None
+        open_requests, capacity = choice.load_of(service)
+        count = rollouts.trial_servers(service, open_requests, capacity)
+        return choice.choose_candidate(now, service, allowed, count)
+
     def _refuse_without_server(self, now: int) -> list[Action]:
         """Refuse the request.  Only servers that are full are a lack of room: whatever else keeps requests
         from servers would have those of other tenants shed on an idle service.
@@ -158,6 +173,7 @@
             self.context.choice.on_ended_by_client(now, server.instance, took)
         else:
             self._log(self.context.choice.on_ended(now, server.instance, outcome, took, reset_at_once))
+        self._note_version(number, server, None if by_client else outcome, took)
         if self.is_done:
             return []
         self._note_outcome(server, outcome, by_client=by_client)
@@ -172,6 +188,14 @@
             return [act]
         return self._give_up(now)
 
+    def _note_version(self, number: int, server: Server, outcome: AttemptOutcome | None, took: int) -> None:
+        """Tell roll-outs how an attempt ended; `outcome` None: it says nothing of the server."""
+        if self.context.rollouts.active:
+            self.context.rollouts.on_ended(self._attempt_key(number, server), outcome, took)
+
+    def _attempt_key(self, number: int, server: Server) -> AttemptKey:
+        return AttemptKey(self, number, self.service, self.route.name, server)
+
     def _note_outcome(self, server: Server, outcome: AttemptOutcome, *, by_client: bool) -> None:
         """Note what follows from an attempt's end for the request."""
         if outcome not in DELIVERED:
@@ -251,6 +275,7 @@
         others = [number for number in self.open_attempts if number != but]
         for number in others:
             server = self.open_attempts.pop(number)
+            self._note_version(number, server, None, 0)
             self._log(
                 self.context.choice.on_ended(
                     now, server.instance, AttemptOutcome.CANCELLED, now - self.sent_at[number]
@@ -289,6 +314,8 @@
         self.open_attempts[number], self.sent_at[number] = server, now
         choice = self.context.choice
         choice.on_sent(now, server.instance)
+        if self.context.rollouts.active:
+            self.context.rollouts.on_sent(now, self._attempt_key(number, server))
         remaining_us = self.deadline - now
         near = choice.region_of(server) == choice.region
         headers = [
--- a/vetchusher/routing/server_selection.py
+++ b/vetchusher/routing/server_selection.py
@@ -12,9 +12,11 @@
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 from enum import Enum, auto
+from hashlib import blake2b
 
 from vetchusher.discovery.server import Server
 from vetchusher.events import LogEvent
+from vetchusher.rollout.directive import Directive, ServerPool
 from vetchusher.settings.configuration import Service
 
 from .claims import AttemptOutcome
@@ -56,6 +58,8 @@
         self.usable: dict[
             str, dict[str, list[ServerState]]
         ] = {}  # by service and region: what may be used at all
+        self.candidates: dict[str, dict[str, list[ServerState]]] = {}  # for exposures alone, best rank first
+        self.directives: Mapping[str, Directive] = {}  # the newest roll-outs, by service
         self.evacuated_zones: frozenset[str] = frozenset()  # zones under evacuation
         self.cold_budget_until = 0  # us: until then this ingress may use the cold budgets that it owns
         self.evacuation_ended_at: dict[
@@ -96,13 +100,46 @@
         self.evacuated_zones = zones
         self._update_usable()
 
+    def set_rollouts(self, directives: Mapping[str, Directive]) -> None:
+        """Take the newest roll-outs, by service: they say which versions get requests."""
+        if directives != self.directives:
+            self.directives = directives
+            self._update_usable()
+
+    def _pool_of(self, state: ServerState, targets: Collection[str]) -> ServerPool:
+        """Return what a server is used for.
+
+        :param targets: services that have servers of the version that is rolled out
+        """
+        server = state.server
+        if server.draining or server.zone in self.evacuated_zones:
+            return ServerPool.UNUSED
+        directive = self.directives.get(server.service)
+        if directive is None:
+            return ServerPool.STABLE
+        return directive.pool_of(server.version, target_listed=server.service in targets)
+
+    def _services_with_targets(self) -> set[str]:
+        """Return the services that have servers of the version that is rolled out."""
+        return {
+            state.server.service
+            for state in self.server_states.values()
+            if (directive := self.directives.get(state.server.service)) is not None
+            and state.server.version == directive.target_version
+            and not state.server.draining
+        }
+
     def _update_usable(self) -> None:
-        self.usable = {}
+        self.usable, self.candidates = {}, {}
+        targets = self._services_with_targets() if self.directives else ()
         for state in self.server_states.values():
-            server = state.server
-            if not server.draining and server.zone not in self.evacuated_zones:
-                regions = self.usable.setdefault(server.service, {})
-                regions.setdefault(state.region, []).append(state)
+            pool = self._pool_of(state, targets)
+            if pool is not ServerPool.UNUSED:
+                pools = self.usable if pool is ServerPool.STABLE else self.candidates
+                pools.setdefault(state.server.service, {}).setdefault(state.region, []).append(state)
+        for regions in self.candidates.values():
+            for states in regions.values():
+                states.sort(key=lambda state: trial_rank(state.server.instance))
         for regions in self.usable.values():
             for states in regions.values():
                 for state in states:
@@ -143,6 +180,38 @@
                 return found.server
         return None
 
+    def choose_candidate(
+        self, now: int, service: str, allowed: frozenset[str] | None, count: int
+    ) -> Server | None:
+        """Return a warm server of the version that is being rolled out; None: there is none with room.
+
+        :param count: servers of each region on which exposures are put together
+        """
+        regions = self.candidates.get(service, {})
+        for region in sorted(regions, key=lambda name: name != self.region):
+            if allowed is not None and region not in allowed:
+                continue
+            fit = [s for s in regions[region] if not s.is_out(now, ()) and not self._is_cold(now, s)]
+            with_room = [state for state in fit[:count] if not state.is_full()]
+            if with_room:
+                return min(with_room, key=lambda state: (state.open_requests, self.rng.random())).server
+        return None
+
+    def load_of(self, service: str) -> tuple[int, int]:
+        """Return how many requests are open from here at a service, and the slots of one of its servers."""
+        states = self.usable_servers(service)
+        return sum(state.open_requests for state in states), max(
+            (s.server.capacity for s in states), default=1
+        )
+
+    def open_at_other_versions(self, service: str, version: str) -> int:
+        """Return how many requests are open from here at servers of a service that have another version."""
+        return sum(
+            state.open_requests
+            for state in self.server_states.values()
+            if state.server.service == service and state.server.version != version
+        )
+
     def region_of(self, server: Server) -> str:
         """Return the region of a server; empty: its zone is not known."""
         return self.zones.get(server.zone, "")
@@ -321,3 +390,8 @@
             state.sent_times.remove(now - took_us)
         del state.sent_times[: max(0, len(state.sent_times) - state.open_requests)]
         return state
+
+
+def trial_rank(instance: str) -> bytes:
+    """Return the rank of a server among those on trial, alike at every ingress: the lowest come first."""
+    return blake2b(instance.encode(), digest_size=8, person=b"trial").digest()
--- a/vetchusher/settings/node.py
+++ b/vetchusher/settings/node.py
@@ -82,6 +82,9 @@
     quota_window_s: float = 5.0
     quota_overrun: float = 0.05
     quota_slack: float = 5.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_ms: int = 5_000
     cold_overrun: float = 1.0
     cold_slack: float = 1.0
     evacuation_ms: int = 5_000
