--- a/vetchusher/rollout/supervisor.py
+++ b/vetchusher/rollout/supervisor.py
@@ -23,6 +23,7 @@
 GIVE_UP_RATIO = 0.85  # a version of which nothing is known by then is reverted
 SETTLE_US = 700_000  # after its promotion: until ingresses have heard of it, and have reported
 SILENT_US = 2_500_000  # without a report: an ingress is out of touch, or gone
+COMPLETE_RATIO = 0.8  # until then a promoted version that turns bad under full load can be reverted
 LAST_RATIO = 0.95  # from here on ingresses out of touch are not waited for
 
 
@@ -135,7 +136,7 @@
 
         Safety: the old servers are stopped with it, at once; what they still work on would be lost.
         """
-        if now < supervised.promoted_at + SETTLE_US:
+        if passed < COMPLETE_RATIO or now < supervised.promoted_at + SETTLE_US:
             return None
         heard = [one for one in supervised.reports.values() if now < one.heard_at + SILENT_US]
         if any(one.state != wire.PROMOTING or one.open_old for one in heard):
--- a/vetchusher/rollout/verdict.py
+++ b/vetchusher/rollout/verdict.py
@@ -120,7 +120,7 @@
 
     def alarm(self) -> Alarm | None:
         """Return what speaks against the new version; None: nothing does."""
-        for route, watch in self.routes.items():
+        for route, watch in sorted(self.routes.items(), key=lambda item: item[0] == ALL_ROUTES):
             for fault, evidence in watch.sums.items():
                 if evidence >= ALARM:
                     return Alarm(route, fault, watch.new, watch.old)
