--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,70 @@
+"""Soak of real processes on this machine, seed by seed; a table of what was played and what was broken."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import shutil
+import sys
+
+from docopt import docopt
+
+from vetchusher.emulator.system.soak import Shape, Soak
+
+USAGE = """Usage: benchmarks.soak [options]
+
+Each process takes some 50 MB: have --core and --edge fit into half of the memory.
+
+  --seeds=RANGE  of the runs [default: 1..10]
+  --core=N       control nodes [default: 3]
+  --edge=N       ingresses [default: 4]
+  --length=S     seconds of faults in a run [default: 12]
+  --folder=DIR   settings, disks and logs of broken runs stay below it [default: /tmp/vetchusher-soak]
+  --keep=FILE    a file for the table
+"""
+HEAD = ["seed", "core", "edge", "requests", "closed", "503", "term", "kill", "hup", "change", "broken"]
+
+
+def seeds_of(text: str) -> range:
+    """Return the seeds of `FIRST..LAST`."""
+    first, _, last = text.partition("..")
+    return range(int(first), int(last or first) + 1)
+
+
+def play(seed: int, shape: Shape, length_s: float, below: pathlib.Path) -> list[object]:
+    """Play one run; return its row.  The folder of a whole run is removed."""
+    folder = below / f"seed-{seed}"
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+
+    async def run() -> tuple[Soak, list[str]]:
+        soak = Soak(seed, shape, length_s)
+        return soak, await soak.run(folder)
+
+    soak, broken = asyncio.run(run())
+    for line in broken:
+        print(f"seed {seed}: {line}", flush=True)
+    if not broken:
+        shutil.rmtree(folder)
+    seen, faults = soak.statuses, soak.faults
+    counts = [len(soak.requests), seen["closed"], seen["503"]]
+    done = [faults[name] for name in ("term", "kill", "hup", "change")]
+    return [seed, shape.core, shape.edge, *counts, *done, len(broken)]
+
+
+def main(argv: list[str]) -> int:
+    """Play the seeds; return 1 if anything was broken."""
+    told = docopt(USAGE, argv)
+    shape = Shape(int(told["--core"]), int(told["--edge"]))
+    rows: list[list[object]] = [list(HEAD), ["---"] * len(HEAD)]
+    for seed in seeds_of(told["--seeds"]):
+        rows.append(play(seed, shape, float(told["--length"]), pathlib.Path(told["--folder"])))
+        print(" ".join(str(cell) for cell in rows[-1]), flush=True)
+    lines = ["| " + " | ".join(str(cell) for cell in row) + " |" for row in rows]
+    if told["--keep"]:
+        pathlib.Path(told["--keep"]).write_text("\n".join(lines) + "\n")
+    return 1 if any(row[-1] for row in rows[2:]) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
