--- /dev/null
+++ b/tests/test_later_rules.py
@@ -0,0 +1,146 @@
+"""The rules of docs/design/later-rules.md: each row names a test that exists; those that had none."""
+
+import asyncio
+import pathlib
+import random
+import re
+from collections import Counter
+from dataclasses import replace
+
+from testtools import TestCase
+
+from tests.test_fairness import MS, SLOTS, Demand, Play
+from tests.test_proxy import Client, StandIn, ingress, scene, unhurried
+from tests.test_routing import S, Scene, configuration, route, server
+from vetchusher.emulator.outside.messages import free_port
+from vetchusher.emulator.system.world import Scene as WorldScene
+from vetchusher.emulator.system.world import World
+from vetchusher.node.process import TEARDOWN_S
+from vetchusher.settings.node import Bounds
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "design" / "later-rules.md"
+WITHOUT_TEST = "none: it is a run of the bench"
+
+
+class Page(TestCase):
+    def test_every_rule_names_a_test_that_exists(self):
+        rows = [line.split(" | ") for line in PAGE.read_text().splitlines() if line.startswith("| ")][2:]
+        self.assertGreater(len(rows), 25)
+        for rule, *_, tests in rows:
+            if tests.rstrip(" |") == WITHOUT_TEST:
+                continue
+            named = re.findall(r"`(tests/\w+\.py)(?:::(\w+))?`", tests)
+            self.assertNotEqual([], named, rule)
+            for file, test in named:
+                self.assertTrue((ROOT / file).exists(), f"{rule}: {file}")
+                self.assertIn(f"def {test}", (ROOT / file).read_text(), rule)
+
+
+class EarlyServer:
+    """A server that answers before it has read a long body, and reads on later."""
+
+    def __init__(self):
+        self.port, self.bodies, self.starts = free_port(), [], []
+
+    @property
+    def row(self):
+        return replace(server("i-1", capacity=4), address=f"127.0.0.1:{self.port}")
+
+    async def open(self):
+        self.listener = await asyncio.start_server(self.connected, "127.0.0.1", self.port, limit=1 << 24)
+
+    async def close(self):
+        self.listener.close()
+
+    async def connected(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.starts.append(head.split("\r\n")[0])
+                found = dict(line.split(": ", 1) for line in head.rstrip().split("\r\n")[1:])
+                attempt = found["X-Vetchusher-Attempt-Id"]
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\nX-Vetchusher-Attempt-Id: {attempt}\r\n"
+                    "X-Vetchusher-Server-Seal: s\r\nKeep-Alive: timeout=5\r\n"
+                    "Content-Length: 2\r\n\r\nok".encode()
+                )
+                await asyncio.sleep(0.05)
+                self.bodies.append(await reader.readexactly(int(found.get("Content-Length", "0"))))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class Servers(TestCase):
+    @scene
+    async def test_a_server_that_answers_before_it_has_read_a_body_gets_nothing_else_there(self):
+        early, sent = EarlyServer(), b"x" * (2 << 20)
+        async with ingress(early) as (_front, port), Client(port) as client:
+            for number in range(3):
+                status, _, _ = await client.ask(f"POST /once/{number}", sent)
+                self.assertIn(status, (200, 502))
+            async with Client(port) as other:
+                self.assertEqual(200, (await other.ask("GET /safe/1"))[0])
+        self.assertTrue(all(start.startswith(("POST /once/", "GET /safe/")) for start in early.starts))
+        self.assertEqual(set(), {body for body in early.bodies if body.strip(b"x")})
+
+    def test_servers_that_join_get_requests_soon(self):
+        before = [server(f"i-{n}", "gulf-a", capacity=SLOTS) for n in range(5)]
+        joined = [server(f"j-{n}", "gulf-a", capacity=SLOTS) for n in range(3)]
+        play = Play(configuration(route("plain")), before)
+        seen = Counter()
+        send = play.send
+
+        def counted(request, demand, action):
+            seen[action.server.instance] += 1
+            send(request, demand, action)
+
+        play.send = counted
+        play.busy |= {one.instance: 0 for one in joined}
+        play.at(2 * S, lambda: play.context.choice.set_servers([*before, *joined]))
+        play.run([Demand("t", "/plain/1", 40.0)], 6 * S)
+        self.assertTrue(all(seen[one.instance] > 0 for one in joined), seen)
+
+    def test_parts_of_a_distribution_get_their_weights(self):
+        conf = configuration(route("safe", targets=(("svc", 80.0), ("other", 20.0))))
+        conf = replace(conf, services={**conf.services, "other": replace(conf.services["svc"], name="other")})
+        servers = [server("a", capacity=400), replace(server("b", capacity=400), service="other")]
+        one, seen = Scene(*servers, conf=conf), Counter()
+        for _ in range(4000):
+            request = one.request()
+            [act, *_] = request.start(0)
+            seen[act.server.service] += 1
+            request.on_client_left(0)
+        self.assertAlmostEqual(0.2, seen["other"] / 4000, delta=0.025)
+
+
+class Leaving(TestCase):
+    def test_the_grace_is_used_up_to_its_last_sixth(self):
+        self.assertLess(TEARDOWN_S, Bounds().grace_s / 6)
+
+    @unhurried
+    async def test_what_a_server_is_at_work_on_is_waited_for_until_the_deadline(self):
+        held = asyncio.Event()
+        slow = StandIn("i-1", held=held)
+        async with ingress(slow) as (front, port), Client(port) as client:
+            asked = asyncio.create_task(client.ask("POST /once/1", b"x", left=9000))
+            while not slow.at_work:
+                await asyncio.sleep(0.01)
+            closing = asyncio.create_task(front.close(front.now() + 5 * S))
+            await asyncio.sleep(3.0)
+            held.set()
+            self.assertEqual(200, (await asked)[0])
+            await closing
+
+    def test_an_ingress_is_ready_soon_after_its_start_and_not_while_it_leaves(self):
+        world = World(WorldScene(seed=random.Random(5).randrange(99), loss=0.0))
+        world.warm_up()
+        self.assertTrue(all(machine.part.is_ready() for machine in world.ingresses))
+        world.end("e1", False)
+        world.run(world.clock.at + S)
+        world.start("e1")
+        world.run(world.clock.at + 600 * MS)
+        self.assertTrue(world.machines["e1"].part.is_ready())
+        world.leave("e1")
+        world.run(world.clock.at + 100 * MS)
+        self.assertFalse(world.machines["e1"].part.is_ready())
--- a/vetchusher/emulator/system/soak.py
+++ b/vetchusher/emulator/system/soak.py
@@ -166,9 +166,13 @@
         return self.acknowledged[0][0]
 
     def take(self, machines: Sequence[Machine]) -> Machine | None:
-        """Draw a machine that runs and is in no trouble."""
+        """Draw a machine that runs and is in no trouble; from here on it is."""
         free = [one for one in machines if one.running and one.name not in self.busy]
-        return self.rng.choice(free) if free else None
+        if not free:
+            return None
+        machine = self.rng.choice(free)
+        self.busy.add(machine.name)
+        return machine
 
     async def restarts(self, system: LocalSystem) -> None:
         """SIGTERM to one ingress after another, in series whose gaps are shorter than their grace."""
@@ -207,7 +211,6 @@
 
     async def restart(self, system: LocalSystem, machine: Machine) -> None:
         """Shut a process down in order, and start it again."""
-        self.busy.add(machine.name)
         self.faults["term"] += 1
         self.stopped_at[machine.name, self.lives[machine.name]] = time.monotonic()
         code = await system.stop(machine.name)
@@ -217,7 +220,6 @@
 
     async def kill(self, system: LocalSystem, machine: Machine) -> None:
         """Kill a process, and start it again."""
-        self.busy.add(machine.name)
         self.faults["kill"] += 1
         self.killed.add((machine.name, self.lives[machine.name]))
         await system.kill(machine.name)
--- a/vetchusher/routing/server_selection.py
+++ b/vetchusher/routing/server_selection.py
@@ -27,6 +27,7 @@
 EVACUATION_END_LAG_US = 2_000_000  # after an evacuation: until the list says which of its servers are cold
 OUTSIDE_FACTOR = 1.75  # usual times that the best of the subset may cost before others are considered
 RANDOM_DRAWS = 6  # before all servers are looked at
+SPREAD_RATIO = 0.5  # of the exposures that go to any server of a new version: each is to be seen at work
 
 
 class NoServerReason(Enum):
@@ -185,14 +186,17 @@
     ) -> Server | None:
         """Return a warm server of the version that is being rolled out; None: there is none with room.
 
-        :param count: servers of each region on which exposures are put together
+        :param count: servers of each region on which the other exposures are put together
         """
         regions = self.candidates.get(service, {})
         for region in sorted(regions, key=lambda name: name != self.region):
             if allowed is not None and region not in allowed:
                 continue
             fit = [s for s in regions[region] if not s.is_out(now, ()) and not self._is_cold(now, s)]
-            with_room = [state for state in fit[:count] if not state.is_full()]
+            spread = self.rng.random() < SPREAD_RATIO
+            with_room = [state for state in (fit if spread else fit[:count]) if not state.is_full()]
+            if spread and with_room:
+                return self.rng.choice(with_room).server
             if with_room:
                 return min(with_room, key=lambda state: (state.open_requests, self.rng.random())).server
         return None
