--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,18 @@
         self.assertEqual((0, False), self.ended_by(signal.SIGTERM))
 
 
+class SignalsAtTheEnd(TestCase):
+    def test_a_process_that_has_shut_down_ends_with_its_own_code_whatever_signal_comes(self):
+        script = "import os; from vetchusher.node.process import block_signals; block_signals(); "
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            ended = subprocess.run(
+                [sys.executable, "-c", f"{script} os.kill(os.getpid(), {int(number)}); raise SystemExit(7)"],
+                timeout=ENDS_WITHIN_S,
+                check=False,
+            )
+            self.assertEqual(7, ended.returncode)
+
+
 class ShortSoak(TestCase):
     def test_seeds(self):
         for seed in (101, 102):
--- a/vetchusher/node/process.py
+++ b/vetchusher/node/process.py
@@ -83,6 +83,14 @@
     return min(MAX_START_UP_US, time.process_time_ns() // 1000)
 
 
+def block_signals() -> None:
+    """Hold back further signals: a process that has shut down in order ends with its own exit code.
+
+    The loop takes its handlers along as it is closed; a SIGHUP between that and the end would end it.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+
+
 def max_configuration_bytes(settings: NodeSettings) -> int:
     """Return how long a configuration may be, and all that are received at one time together."""
     return min(MAX_CONFIGURATION_BYTES, settings.limits.memory_mb * (1 << 20) // MEMORY_FRACTION)
@@ -247,6 +255,7 @@
         tasks.append(self.loop.create_task(self.watch_settings()))
         await self.stop_requested.wait()
         await self.shut_down(tasks)
+        block_signals()
         return 0
 
     async def shut_down(self, tasks: list[asyncio.Task[None]]) -> None:
