--- a/benchmarks/calm_days.py
+++ b/benchmarks/calm_days.py
@@ -18,6 +18,8 @@
 
 from docopt import docopt
 
+from .table import markdown_table, seed_range
+
 USAGE = """Usage: benchmarks.calm_days BENCH SITE... [options]
 
 BENCH is the program that plays days, SITE the file of a deployment.
@@ -82,17 +84,10 @@
     return rows
 
 
-def seeds_of(text: str) -> range:
-    """Return the seeds of `FIRST..LAST`."""
-    first, _, last = text.partition("..")
-    return range(int(first), int(last or first) + 1)
-
-
 def lines_of(days: Sequence[CalmDay]) -> list[str]:
     """Return the table in Markdown."""
     head = ["deployment", "seed", "worth", "served", "refused", "failed", "", "fault"]
-    rows: list[list[object]] = [list(head), ["---"] * len(head), *rows_of(days)]
-    return ["| " + " | ".join(str(cell) for cell in row) + " |" for row in rows]
+    return markdown_table(head, rows_of(days))
 
 
 def main(argv: list[str]) -> int:
@@ -102,7 +97,7 @@
         runs = [
             pool.submit(play, told["BENCH"], pathlib.Path(site), seed, int(told["--until"]), told["--why"])
             for site in told["SITE"]
-            for seed in seeds_of(told["--seeds"])
+            for seed in seed_range(told["--seeds"])
         ]
         lines = lines_of([run.result() for run in runs])
     print("\n".join(lines))
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -11,6 +11,8 @@
 
 from vetchusher.emulator.system.soak import Shape, Soak
 
+from .table import markdown_table, seed_range
+
 USAGE = """Usage: benchmarks.soak [options]
 
 Each process takes some 50 MB: have --core and --edge fit into half of the memory.
@@ -25,12 +27,6 @@
 HEAD = ["seed", "core", "edge", "requests", "closed", "503", "term", "kill", "hup", "change", "broken"]
 
 
-def seeds_of(text: str) -> range:
-    """Return the seeds of `FIRST..LAST`."""
-    first, _, last = text.partition("..")
-    return range(int(first), int(last or first) + 1)
-
-
 def play(seed: int, shape: Shape, length_s: float, below: pathlib.Path) -> list[object]:
     """Play one run; return its row.  The folder of a whole run is removed."""
     folder = below / f"seed-{seed}"
@@ -56,14 +52,14 @@
     """Play the seeds; return 1 if anything was broken."""
     told = docopt(USAGE, argv)
     shape = Shape(int(told["--core"]), int(told["--edge"]))
-    rows: list[list[object]] = [list(HEAD), ["---"] * len(HEAD)]
-    for seed in seeds_of(told["--seeds"]):
+    rows: list[list[object]] = []
+    for seed in seed_range(told["--seeds"]):
         rows.append(play(seed, shape, float(told["--length"]), pathlib.Path(told["--folder"])))
         print(" ".join(str(cell) for cell in rows[-1]), flush=True)
-    lines = ["| " + " | ".join(str(cell) for cell in row) + " |" for row in rows]
+    lines = markdown_table(HEAD, rows)
     if told["--keep"]:
         pathlib.Path(told["--keep"]).write_text("\n".join(lines) + "\n")
-    return 1 if any(row[-1] for row in rows[2:]) else 0
+    return 1 if any(row[-1] for row in rows) else 0
 
 
 if __name__ == "__main__":
--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -4,7 +4,7 @@
 
 import pathlib
 import platform
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 from docopt import docopt
@@ -28,3 +28,15 @@
         title = f"# {name.capitalize()}: {table}\n\n`{command}`, Python {platform.python_version()}.\n"
         pathlib.Path(told["--keep"]).write_text("\n".join([title, *lines]) + "\n")
     return 1 if any(word in line for line in lines for word in bad) else 0
+
+
+def markdown_table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> list[str]:
+    """Return the lines of a table in Markdown."""
+    lines: list[Sequence[object]] = [head, ["---"] * len(head), *rows]
+    return ["| " + " | ".join(str(cell) for cell in line) + " |" for line in lines]
+
+
+def seed_range(text: str) -> range:
+    """Return the seeds of `FIRST..LAST`, or of `FIRST` alone."""
+    first, _, last = text.partition("..")
+    return range(int(first), int(last or first) + 1)
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -11,6 +11,7 @@
 
 from testtools import TestCase
 
+from tests.test_proxy import Open
 from tests.test_routing import S, configuration, route, server, tenant
 from vetchusher.errors import ErrorCode
 from vetchusher.events import Event
@@ -32,22 +33,6 @@
 SLOTS, QUEUE = 3, 6
 
 
-class Plenty:
-    """Quotas and a retry budget that never run out."""
-
-    def admit(self, now, tenant):
-        return True
-
-    def retry_after_us(self, now, tenant):
-        return 0
-
-    def on_request(self, now, service):
-        pass
-
-    def take_attempt(self, now, service, *, leave_reserve=False):
-        return True
-
-
 @dataclass(slots=True)
 class Demand:
     """Requests of one tenant: so many a second, with this deadline, given up after a time."""
@@ -65,9 +50,7 @@
     def __init__(self, conf, servers, seed=5):
         self.rng = random.Random(seed)
         selector = ServerSelector(random.Random(seed + 1), "e1", "gulf", ZONES)
-        self.context = RoutingContext(
-            selector, Plenty(), Plenty(), random.Random(seed + 2), fresh_until=1 << 60
-        )
+        self.context = RoutingContext(selector, Open(), Open(), random.Random(seed + 2), fresh_until=1 << 60)
         self.context.configure(conf)
         selector.set_servers(servers)
         self.busy = {one.instance: 0 for one in servers}
